--- /dev/null
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/declaration/DeclarationDefaults.kt
@@ -0,0 +1,23 @@
+package cicadagauge.declaration
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The values that a declaration leaves out, and the ranges of those it gives. */
+public object DeclarationDefaults {
+    public const val ENTRY_VMS: Int = 9
+    public const val KEYED: Boolean = true
+    public const val SLOTS: Int = 256
+    public const val FENCED: Boolean = true
+    public const val CONCURRENCY: Int = 2
+    public const val CONNECTIONS: Int = 100
+    public val DEADLINE: Duration = 2_000.milliseconds
+
+    public val ENTRY_VM_RANGE: IntRange = 1..20_000
+    public val SLOT_RANGE: IntRange = 1..65_536
+    public val CONCURRENCY_RANGE: IntRange = 1..10_000
+    public val CONNECTION_RANGE: IntRange = 1..10_000
+    public val DEADLINE_MILLIS_RANGE: IntRange = 1..600_000
+    public val BURST_RANGE: IntRange = 1..10_000_000
+    public const val MAX_RATE_PER_SECOND: Double = 1e9
+}
--- /dev/null
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/Outcome.kt
@@ -0,0 +1,44 @@
+/*
+ * What a caller learns about its request. Every refusal carries a verdict: whether the request may have run.
+ * "Not run" is a promise. Where nothing proves it, the verdict is that the request may have run.
+ */
+package cicadagauge.outcome
+
+import kotlin.time.Duration
+
+/** Whether a request may have run at an upstream. */
+public enum class Verdict(public val code: String) {
+    /** No upstream ran any part of it; sending it again is safe. */
+    NotRun("not-run"),
+
+    /** An upstream may have run it, in part or in whole. */
+    MayHaveRun("may-have-run"),
+
+    /** An upstream's whole answer reached the caller. */
+    Answered("answered"),
+}
+
+/** Why a request was refused: a stable code, the HTTP status and the verdict that goes with it. */
+public enum class Reason(public val code: String, public val status: Int, public val verdict: Verdict) {
+    BadRequest("bad-request", 400, Verdict.NotRun),
+    BadDeadline("bad-deadline", 400, Verdict.NotRun),
+    MissingKey("missing-routing-key", 400, Verdict.NotRun),
+    Unauthenticated("unauthenticated", 401, Verdict.NotRun),
+    NoRoute("no-route", 404, Verdict.NotRun),
+    MethodNotAllowed("method-not-allowed", 405, Verdict.NotRun),
+    BodyTooLarge("body-too-large", 413, Verdict.NotRun),
+    BodyTooLargeMidway("body-too-large-midway", 413, Verdict.MayHaveRun),
+    RateExceeded("rate-exceeded", 429, Verdict.NotRun),
+    HeaderTooLarge("header-too-large", 431, Verdict.NotRun),
+    NoConfiguration("no-configuration", 503, Verdict.NotRun),
+    Overloaded("overloaded", 503, Verdict.NotRun),
+    NoUpstream("no-upstream", 503, Verdict.NotRun),
+    OwnerUnavailable("owner-unavailable", 503, Verdict.NotRun),
+    ShuttingDown("shutting-down", 503, Verdict.NotRun),
+    DeadlineBeforeRun("deadline-before-run", 504, Verdict.NotRun),
+    DeadlineDuringRun("deadline-during-run", 504, Verdict.MayHaveRun),
+    UpstreamBroke("upstream-broke", 502, Verdict.MayHaveRun),
+}
+
+/** A refusal as the caller sees it; [retryAfter] says when another try may succeed. */
+public data class Refusal(val reason: Reason, val detail: String, val retryAfter: Duration? = null)
--- /dev/null
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -0,0 +1,76 @@
+/*
+ * Messages between the router's own VMs. They are sent as JSON over HTTP and may be lost, delayed, repeated and
+ * reordered; every handler is idempotent.
+ */
+package cicadagauge.peer
+
+import cicadagauge.declaration.RequestClass
+import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.Moment
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.RecordVersion
+import cicadagauge.identity.RequestId
+import cicadagauge.identity.Slot
+import cicadagauge.identity.TenantName
+import cicadagauge.identity.Term
+import cicadagauge.identity.UpstreamId
+import cicadagauge.outcome.Refusal
+import cicadagauge.ownership.OwnershipRecord
+import kotlin.time.Duration
+
+/** A message from one VM to another. */
+public sealed interface PeerMessage {
+    /** Passes an accepted declaration on, as the text that the store holds. */
+    public data class DeclarationUpdate(val version: DeclarationVersion, val text: String) : PeerMessage
+
+    /** Passes a pool's ownership record on. */
+    public data class RecordUpdate(val record: OwnershipRecord) : PeerMessage
+
+    /** Names the versions that the sender has, so that the receiver can send what is newer. */
+    public data class Digest(val declaration: DeclarationVersion, val records: List<RecordDigest>) : PeerMessage
+
+    /**
+     * Asks a tenant's budget keeper for up to [demand] requests.
+     *
+     * [stamp] is the keeper's clock reading from its last reply. With it the sender waives its own portion of the
+     * tenant's rate until the keeper's clock reads [stamp] plus the waiver time; without it, nothing is waived.
+     */
+    public data class BudgetRequest(val tenant: TenantName, val sequence: Long, val stamp: Moment?, val demand: Int) :
+        PeerMessage
+
+    /** Lends [tokens] requests in answer to request [sequence]; [stamp] is the keeper's clock reading. */
+    public data class BudgetReply(val tenant: TenantName, val sequence: Long, val stamp: Moment, val tokens: Int) :
+        PeerMessage
+
+    /** Asks the home VM of [pool] for a place at an upstream for one request. */
+    public data class Reserve(
+        val pool: PoolName,
+        val id: RequestId,
+        val slot: Slot?,
+        val requestClass: RequestClass,
+        val tenant: TenantName,
+        val timeLeft: Duration,
+    ) : PeerMessage
+
+    /** The request may go to [upstream] now. */
+    public data class Reserved(val pool: PoolName, val id: RequestId, val upstream: UpstreamId) : PeerMessage
+
+    /** The request gets no place; [refusal] is its final answer. */
+    public data class Denied(val pool: PoolName, val id: RequestId, val refusal: Refusal) : PeerMessage
+
+    /** Gives a place back, with what the attempt showed of the upstream. */
+    public data class Release(val pool: PoolName, val id: RequestId, val result: PlaceResult, val duration: Duration) :
+        PeerMessage
+
+    /** Tells the holder of a lower [term] of [pool] to stop. */
+    public data class Yield(val pool: PoolName, val term: Term) : PeerMessage
+
+    /** Confirms that the sender gives no orders for [pool] below [term]. */
+    public data class Yielded(val pool: PoolName, val term: Term) : PeerMessage
+}
+
+/** What an attempt showed of the upstream whose place it used. */
+public enum class PlaceResult { Served, Busy, Refused, Unreachable, Broken, Unused }
+
+/** One pool's entry in a [PeerMessage.Digest]. */
+public data class RecordDigest(val pool: PoolName, val term: Term, val version: RecordVersion)
--- /dev/null
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/Main.kt
@@ -0,0 +1,84 @@
+/*
+ * The program `cicadagauge`: finds the command, reads its options and exits with the command's code.
+ */
+package cicadagauge.cli
+
+import cicadagauge.cli.operate.ApplyCommand
+import cicadagauge.cli.operate.CheckCommand
+import cicadagauge.cli.operate.KeyCommand
+import cicadagauge.cli.operate.OutCommand
+import cicadagauge.cli.operate.PlanCommand
+import cicadagauge.cli.operate.StatusCommand
+import cicadagauge.cli.run.GatewayCommand
+import cicadagauge.cli.run.LocalCommand
+import cicadagauge.cli.run.StandinCommand
+import org.kohsuke.args4j.ClassParser
+import org.kohsuke.args4j.CmdLineException
+import org.kohsuke.args4j.CmdLineParser
+import org.kohsuke.args4j.Option
+import org.kohsuke.args4j.ParserProperties
+import java.io.StringWriter
+import kotlin.system.exitProcess
+
+/** A command's name, purpose and making. */
+private class Entry(val name: String, val purpose: String, val make: () -> Command)
+
+private val COMMANDS = listOf(
+    Entry("local", "run three entry VMs with stand-ins in one process, under a bounded load", ::LocalCommand),
+    Entry("gateway", "run one entry VM", ::GatewayCommand),
+    Entry("standin", "run a stand-in of the platform: store, upstream or vms", ::StandinCommand),
+    Entry("check", "check a declaration", ::CheckCommand),
+    Entry("plan", "show what applying a declaration would change", ::PlanCommand),
+    Entry("apply", "put a declaration into force", ::ApplyCommand),
+    Entry("status", "show versions, owners and duties of the VMs", ::StatusCommand),
+    Entry("zone", "take an availability zone out, or bring it back", { OutCommand(OutCommand.Subject.Zone) }),
+    Entry("upstream", "take an upstream out, or bring it back", { OutCommand(OutCommand.Subject.Upstream) }),
+    Entry("key", "issue or withdraw a tenant's key", ::KeyCommand),
+)
+
+/** Options that every command has. */
+private class HelpOption {
+    @Option(name = "--help", aliases = ["-h"], usage = "show this help", help = true)
+    var help: Boolean = false
+}
+
+/** Runs the program and exits. */
+fun main(args: Array<String>) {
+    val code = runProgram(args.toList(), Console())
+    exitProcess(code.code)
+}
+
+/** Runs the program with [args] and returns its exit code. */
+fun runProgram(args: List<String>, console: Console): ExitCode {
+    val name = args.firstOrNull()
+    val entry = COMMANDS.firstOrNull { it.name == name }
+    if (entry != null) return runCommand(entry, args.drop(1), console)
+    val asked = name == "--help" || name == "-h"
+    val say: (String) -> Unit = if (asked) console::say else console::complain
+    if (name != null && !asked) say("unknown command '$name'")
+    say("usage: cicadagauge COMMAND [OPTIONS]; cicadagauge COMMAND --help shows a command's options")
+    COMMANDS.forEach { say("  ${it.name.padEnd(NAME_WIDTH)} ${it.purpose}") }
+    return if (asked) ExitCode.Ok else ExitCode.Usage
+}
+
+private fun runCommand(entry: Entry, args: List<String>, console: Console): ExitCode {
+    val command = entry.make()
+    val help = HelpOption()
+    val parser = CmdLineParser(command, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH))
+    ClassParser().parse(help, parser)
+    try {
+        parser.parseArgument(args)
+    } catch (e: CmdLineException) {
+        console.complain("cicadagauge ${entry.name}: ${e.message}")
+        console.complain("cicadagauge ${entry.name} --help shows what is allowed")
+        return ExitCode.Usage
+    }
+    if (!help.help) return command.run(console)
+    val usage = StringWriter().also { parser.printUsage(it, null) }
+    console.say("cicadagauge ${entry.name}: ${entry.purpose}\n$usage")
+    console.say("Each option can also be set in the environment: --vm-list as CICADAGAUGE_VM_LIST.")
+    return ExitCode.Ok
+}
+
+private const val NAME_WIDTH = 10
+private const val USAGE_WIDTH = 110
--- /dev/null
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/operate/ApplyCommand.kt
@@ -0,0 +1,28 @@
+package cicadagauge.cli.operate
+
+import cicadagauge.cli.Console
+import cicadagauge.cli.ExitCode
+import cicadagauge.identity.DeclarationVersion
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.Option
+
+/** `apply FILE`: puts a declaration into force. */
+class ApplyCommand : OperatorCommand() {
+    @Argument(metaVar = "FILE", usage = "the declaration", required = true)
+    var file: String = ""
+
+    @Option(name = "--base", usage = "the version that the plan was made against; without it, whatever is in force")
+    var base: String? = null
+
+    override fun run(console: Console): ExitCode {
+        val text = readFile(file, console) ?: return ExitCode.Usage
+        readDeclaration(text, file, console) ?: return ExitCode.Invalid
+        val number = base?.let { it.toLongOrNull() ?: return usage(console, it) }
+        return withStore(console) { report(it.apply(text, number?.let(::DeclarationVersion), operationId()), console) }
+    }
+
+    private fun usage(console: Console, value: String): ExitCode {
+        console.complain("--base: '$value' is not allowed; allowed: a version, a whole number")
+        return ExitCode.Usage
+    }
+}
--- /dev/null
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/operate/CheckCommand.kt
@@ -0,0 +1,23 @@
+package cicadagauge.cli.operate
+
+import cicadagauge.cli.Console
+import cicadagauge.cli.ExitCode
+import org.kohsuke.args4j.Argument
+
+/** `check FILE`: reads a declaration and lists everything that is wrong with it. */
+class CheckCommand : OperatorCommand() {
+    @Argument(metaVar = "FILE", usage = "the declaration", required = true)
+    var file: String = ""
+
+    override fun run(console: Console): ExitCode {
+        val text = readFile(file, console) ?: return ExitCode.Usage
+        val declaration = readDeclaration(text, file, console) ?: return ExitCode.Invalid
+        val line = CheckedLine(declaration.pools.size, declaration.routes.size, declaration.tenants.size)
+        console.say(
+            if (json) toJson(line) else "in order: ${line.pools} pools, ${line.routes} routes, ${line.tenants} tenants",
+        )
+        return ExitCode.Ok
+    }
+
+    private data class CheckedLine(val pools: Int, val routes: Int, val tenants: Int)
+}
--- /dev/null
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/operate/OperatorCommand.kt
@@ -0,0 +1,107 @@
+package cicadagauge.cli.operate
+
+import arrow.core.Either
+import cicadagauge.cli.Command
+import cicadagauge.cli.Console
+import cicadagauge.cli.ExitCode
+import cicadagauge.cli.Settings
+import cicadagauge.declaration.ApplyError
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.DeclarationApplier
+import cicadagauge.declaration.Problem
+import cicadagauge.declaration.YamlDeclarationReader
+import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.OperationId
+import cicadagauge.store.Json
+import org.kohsuke.args4j.Option
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.UUID
+
+/** What the operators' commands have in common. */
+abstract class OperatorCommand : Command {
+    @Option(name = "--json", usage = "print JSON")
+    var json: Boolean = false
+
+    @Option(name = "--store", usage = "address of the platform store, host:port")
+    var store: String? = null
+
+    @Option(
+        name = "--operation",
+        usage = "id of this operation; give the same one when you try again after a lost answer",
+    )
+    var operation: String? = null
+
+    /** The operation's id: the one given or a new one. */
+    protected fun operationId(): OperationId = OperationId(operation ?: UUID.randomUUID().toString())
+
+    /** Runs [work] with the declaration store, or complains about the settings. */
+    protected fun withStore(
+        console: Console,
+        settings: Settings = Settings(),
+        work: (DeclarationApplier) -> ExitCode,
+    ): ExitCode {
+        val address = settings.address("--store", store)
+        if (settings.problems.isNotEmpty()) return complainOf(settings, console)
+        return work(DeclarationApplier(StoreConnection(address)))
+    }
+
+    /** Reads the file at [path], or complains. */
+    protected fun readFile(path: String, console: Console): String? = try {
+        Files.readString(Path.of(path))
+    } catch (e: IOException) {
+        console.complain("can't read $path: ${e.message}")
+        null
+    }
+
+    /** Reads the declaration in [text], or complains about everything that is wrong. */
+    protected fun readDeclaration(text: String, path: String, console: Console): Declaration? =
+        YamlDeclarationReader().read(text).fold({ complainOf(it, path, console) }) { it }
+
+    private fun complainOf(problems: List<Problem>, path: String, console: Console): Declaration? {
+        if (json) console.say(toJson(problems)) else problems.forEach { console.complain("$path: $it") }
+        return null
+    }
+
+    /** Reports the outcome of a command that accepts a version. */
+    protected fun report(result: Either<ApplyError, DeclarationVersion>, console: Console): ExitCode =
+        result.fold({ report(it, console) }) { version ->
+            console.say(if (json) toJson(AcceptedLine(version.value)) else "accepted as version $version")
+            ExitCode.Ok
+        }
+
+    /** Reports [error]. */
+    protected fun report(error: ApplyError, console: Console): ExitCode {
+        val (code, text) = when (error) {
+            is ApplyError.Invalid -> ExitCode.Invalid to error.problems.joinToString("\n")
+            is ApplyError.Conflict ->
+                ExitCode.Conflict to
+                    "version ${error.found} is in force, not ${error.expected}: another operator was faster; plan again"
+            ApplyError.Missing -> ExitCode.Invalid to "no declaration was applied yet"
+            is ApplyError.Unreadable -> ExitCode.Failed to "what the store holds can't be read: ${error.problem}"
+            is ApplyError.Unavailable -> ExitCode.Unavailable to unavailable(error)
+        }
+        if (json) console.say(toJson(ErrorLine(code.name.lowercase(), text))) else console.complain(text)
+        return code
+    }
+
+    /** Lists what is wrong with [settings]. */
+    protected fun complainOf(settings: Settings, console: Console): ExitCode {
+        settings.problems.forEach(console::complain)
+        return ExitCode.Usage
+    }
+
+    /** The JSON form of [value]. */
+    protected fun toJson(value: Any): String = Json.mapper.writeValueAsString(value)
+
+    private fun unavailable(error: ApplyError.Unavailable): String = if (error.mayBeWritten) {
+        "the store does not answer; the change may have been accepted: try again with the same --operation"
+    } else {
+        "the store does not answer; nothing was changed"
+    }
+
+    private data class AcceptedLine(val version: Long)
+
+    private data class ErrorLine(val error: String, val detail: String)
+}
--- /dev/null
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/operate/PlanCommand.kt
@@ -0,0 +1,49 @@
+package cicadagauge.cli.operate
+
+import cicadagauge.cli.Console
+import cicadagauge.cli.ExitCode
+import cicadagauge.declaration.Accepted
+import cicadagauge.declaration.ApplyError
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.DeclarationDiff
+import org.kohsuke.args4j.Argument
+
+/** `plan FILE`: shows what applying a declaration would change. */
+class PlanCommand : OperatorCommand() {
+    @Argument(metaVar = "FILE", usage = "the declaration", required = true)
+    var file: String = ""
+
+    override fun run(console: Console): ExitCode {
+        val text = readFile(file, console) ?: return ExitCode.Usage
+        val after = readDeclaration(text, file, console) ?: return ExitCode.Invalid
+        return withStore(console) { applier ->
+            applier.current().fold({
+                if (it ==
+                    ApplyError.Missing
+                ) {
+                    show(null, after, console)
+                } else {
+                    report(it, console)
+                }
+            }) {
+                show(it, after, console)
+            }
+        }
+    }
+
+    private fun show(before: Accepted?, after: Declaration, console: Console): ExitCode {
+        val base = before?.stored?.version?.value ?: 0
+        val changes = DeclarationDiff.between(before?.declaration, after)
+        if (json) {
+            console.say(toJson(PlanLine(base, changes.map { it.toString() })))
+            return ExitCode.Ok
+        }
+        console.say("against version $base:")
+        changes.forEach { console.say("  $it") }
+        if (changes.isEmpty()) console.say("  nothing changes")
+        console.say("apply with: cicadagauge apply $file --base $base")
+        return ExitCode.Ok
+    }
+
+    private data class PlanLine(val base: Long, val changes: List<String>)
+}
--- /dev/null
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/operate/StatusCommand.kt
@@ -0,0 +1,82 @@
+package cicadagauge.cli.operate
+
+import cicadagauge.cli.Console
+import cicadagauge.cli.ExitCode
+import cicadagauge.cli.Settings
+import cicadagauge.gateway.control.ControlPaths
+import cicadagauge.gateway.control.JsonHttpClient
+import cicadagauge.identity.Address
+import cicadagauge.node.NodeStatus
+import cicadagauge.store.Json
+import com.fasterxml.jackson.core.JacksonException
+import org.kohsuke.args4j.Option
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+
+/** `status`: shows what the VMs report of themselves, and which of them lag. */
+class StatusCommand : OperatorCommand() {
+    @Option(name = "--vms", usage = "control addresses of the VMs to ask, separated by commas")
+    var vms: String? = null
+
+    @Option(name = "--secret", usage = "the deployment's secret")
+    var secret: String? = null
+
+    private val client = HttpClient.newBuilder().connectTimeout(TIMEOUT).build()
+
+    override fun run(console: Console): ExitCode {
+        val settings = Settings()
+        val list = settings.text("--vms", vms)
+        val proof = settings.text("--secret", secret)
+        val addresses = list.split(',').map { settings.address("--vms", it.trim()) }
+        if (settings.problems.isNotEmpty()) return complainOf(settings, console)
+        val answers = addresses.map { Answer(it, ask(it, proof)) }
+        if (json) console.say(toJson(answers)) else show(answers, console)
+        return if (answers.all { it.status != null }) ExitCode.Ok else ExitCode.Unavailable
+    }
+
+    private fun ask(address: Address, proof: String): NodeStatus? {
+        val builder = HttpRequest.newBuilder(URI("http://$address${ControlPaths.STATUS}")).timeout(TIMEOUT)
+        JsonHttpClient.proof(proof, "operator").forEach { (name, value) -> builder.header(name, value) }
+        return try {
+            val answer = client.send(builder.GET().build(), HttpResponse.BodyHandlers.ofByteArray())
+            if (answer.statusCode() == OK) Json.mapper.readValue(answer.body(), NodeStatus::class.java) else null
+        } catch (_: JacksonException) {
+            null
+        } catch (_: IOException) {
+            null
+        }
+    }
+
+    private fun show(answers: List<Answer>, console: Console) {
+        val known = answers.mapNotNull { it.status }
+        val newest = known.maxOfOrNull { it.declaration }
+        for (answer in answers) {
+            val status = answer.status
+            if (status == null) {
+                console.say("${answer.address}  no answer")
+                continue
+            }
+            val lag = if (status.declaration == newest) "" else "  LAGS"
+            val store = if (status.storeReachable) "" else "  store out of reach"
+            val state = if (status.ready) "ready" else "not ready"
+            val duties = status.duties.joinToString().ifEmpty { "-" }
+            console.say("${status.vm}  $state  declaration ${status.declaration}$lag$store  duties: $duties")
+        }
+        val pools = known.flatMap { it.pools }.groupBy { it.pool }.values.map { all -> all.maxBy { it.version } }
+        for (pool in pools) {
+            console.say("pool ${pool.pool}: version ${pool.version}, term ${pool.term}, allocator ${pool.allocator}")
+            pool.members.forEach { console.say("  ${it.upstream}  ${it.slots} slots, share ${it.share} %") }
+        }
+    }
+
+    private data class Answer(val address: Address, val status: NodeStatus?)
+
+    private companion object {
+        const val OK = 200
+        val TIMEOUT: Duration = Duration.ofSeconds(2)
+    }
+}
--- /dev/null
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/run/GatewayCommand.kt
@@ -0,0 +1,84 @@
+package cicadagauge.cli.run
+
+import cicadagauge.cli.Command
+import cicadagauge.cli.Console
+import cicadagauge.cli.ExitCode
+import cicadagauge.cli.Settings
+import cicadagauge.gateway.Gateway
+import cicadagauge.gateway.GatewaySettings
+import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.VmId
+import cicadagauge.node.NodeSettings
+import org.kohsuke.args4j.Option
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicReference
+
+/** `gateway`: runs one entry VM until SIGTERM, then stops without cutting off a request. */
+class GatewayCommand : Command {
+    @Option(name = "--vm", usage = "this VM's id")
+    var vm: String? = null
+
+    @Option(name = "--zone", usage = "this VM's availability zone")
+    var zone: String? = null
+
+    @Option(name = "--callers", usage = "address for callers, host:port")
+    var callers: String? = null
+
+    @Option(name = "--control", usage = "address for peers, metrics and health, host:port, as the VM list gives it")
+    var control: String? = null
+
+    @Option(name = "--store", usage = "address of the platform store, host:port")
+    var store: String? = null
+
+    @Option(name = "--vm-list", usage = "address of the platform's VM list, host:port")
+    var vmList: String? = null
+
+    @Option(name = "--secret", usage = "the secret that all VMs and upstreams of the deployment share")
+    var secret: String? = null
+
+    @Option(name = "--drain-limit", usage = "milliseconds that a planned stop may take")
+    var drainLimit: String? = null
+
+    override fun run(console: Console): ExitCode {
+        val settings = Settings()
+        val gateway = read(settings)
+        val limit = settings.millis("--drain-limit", drainLimit, DRAIN_RANGE, DRAIN_MILLIS)
+        if (settings.problems.isNotEmpty()) {
+            settings.problems.forEach(console::complain)
+            return ExitCode.Usage
+        }
+        val running = Gateway(gateway).start()
+        console.say("entry VM ${gateway.node.vm} takes callers on ${gateway.callers}, peers on ${gateway.control}")
+        val asked = CountDownLatch(1)
+        val stopped = CountDownLatch(1)
+        val whole = AtomicReference(true)
+        Runtime.getRuntime().addShutdownHook(
+            Thread {
+                asked.countDown()
+                stopped.await()
+                if (whole.get()) Runtime.getRuntime().halt(ExitCode.Ok.code)
+            },
+        )
+        asked.await()
+        whole.set(running.stop(limit))
+        stopped.countDown()
+        return if (whole.get()) ExitCode.Ok else ExitCode.Failed
+    }
+
+    private fun read(settings: Settings): GatewaySettings = GatewaySettings(
+        node = NodeSettings(
+            vm = VmId(settings.text("--vm", vm)),
+            zone = AvailabilityZone(settings.text("--zone", zone)),
+        ),
+        callers = settings.address("--callers", callers),
+        control = settings.address("--control", control),
+        store = settings.address("--store", store),
+        vmList = settings.address("--vm-list", vmList),
+        secret = settings.text("--secret", secret),
+    )
+
+    private companion object {
+        const val DRAIN_MILLIS = 10_000
+        val DRAIN_RANGE = 100..600_000
+    }
+}
--- /dev/null
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/run/StandinCommand.kt
@@ -0,0 +1,111 @@
+package cicadagauge.cli.run
+
+import cicadagauge.cli.Command
+import cicadagauge.cli.Console
+import cicadagauge.cli.ExitCode
+import cicadagauge.cli.Settings
+import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.UpstreamId
+import cicadagauge.identity.VmId
+import cicadagauge.membership.Vm
+import cicadagauge.standins.store.StoreStandin
+import cicadagauge.standins.upstream.UpstreamStandin
+import cicadagauge.standins.upstream.UpstreamTraits
+import cicadagauge.standins.vms.VmListStandin
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.Option
+import java.util.concurrent.CountDownLatch
+
+/** `standin store|upstream|vms`: runs a small stand-in of the platform until it is stopped. */
+class StandinCommand : Command {
+    @Argument(metaVar = "store|upstream|vms", usage = "what to stand in for", required = true)
+    var kind: String = ""
+
+    @Option(name = "--listen", usage = "address to listen on, host:port")
+    var listen: String? = null
+
+    @Option(name = "--vms", usage = "vms: the list, as id=host:port@zone separated by commas")
+    var vms: String? = null
+
+    @Option(name = "--lag", usage = "vms: milliseconds after which a change of the list shows")
+    var lag: String? = null
+
+    @Option(name = "--id", usage = "upstream: its id")
+    var id: String? = null
+
+    @Option(name = "--pool", usage = "upstream: its pool")
+    var pool: String? = null
+
+    @Option(name = "--keyed", usage = "upstream: true where it runs only what it holds a grant for")
+    var keyed: String? = null
+
+    @Option(name = "--concurrency", usage = "upstream: requests that it runs at a time")
+    var concurrency: String? = null
+
+    @Option(name = "--service", usage = "upstream: milliseconds that a request takes")
+    var service: String? = null
+
+    @Option(name = "--secret", usage = "upstream: the deployment's secret")
+    var secret: String? = null
+
+    private val settings = Settings()
+
+    override fun run(console: Console): ExitCode {
+        val address = settings.address("--listen", listen)
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        val start: () -> Unit = when (kind) {
+            "store" -> { -> StoreStandin(group, address).start() }
+            "vms" -> vmList().let { list ->
+                val delay = settings.millis("--lag", lag, LAG_RANGE, LAG_MILLIS);
+                { VmListStandin(group, address, delay, list).start() }
+            }
+            "upstream" -> traits().let { traits ->
+                val proof = settings.text("--secret", secret);
+                { UpstreamStandin(group, address, traits, proof).start() }
+            }
+            else -> {
+                settings.refuse("KIND", kind, "store, upstream, vms");
+                {}
+            }
+        }
+        if (settings.problems.isNotEmpty()) {
+            settings.problems.forEach(console::complain)
+            return ExitCode.Usage
+        }
+        start()
+        console.say("$kind stand-in listens on $address")
+        CountDownLatch(1).await()
+        return ExitCode.Ok
+    }
+
+    private fun vmList(): List<Vm> = settings.text("--vms", vms).split(',').mapNotNull { text ->
+        val parts = VM.matchEntire(text.trim())
+        if (parts == null) {
+            settings.refuse("--vms", text, "id=host:port@zone")
+            return@mapNotNull null
+        }
+        val (name, address, zone) = parts.destructured
+        Vm(VmId(name), settings.address("--vms", address), AvailabilityZone(zone))
+    }
+
+    private fun traits(): UpstreamTraits = UpstreamTraits(
+        id = UpstreamId(settings.text("--id", id)),
+        pool = PoolName(settings.text("--pool", pool)),
+        keyed = settings.text("--keyed", keyed, "true").toBooleanStrictOrNull()
+            ?: true.also { settings.refuse("--keyed", keyed.orEmpty(), "true, false") },
+        concurrency = settings.int("--concurrency", concurrency, CONCURRENCY_RANGE, 2),
+        service = settings.millis("--service", service, SERVICE_RANGE, SERVICE_MILLIS),
+    )
+
+    private companion object {
+        val VM = Regex("([^=@]+)=([^@]+)@(.+)")
+        const val LAG_MILLIS = 3_000
+        const val SERVICE_MILLIS = 5
+        val LAG_RANGE = 0..600_000
+        val SERVICE_RANGE = 0..60_000
+        val CONCURRENCY_RANGE = 1..10_000
+    }
+}
--- /dev/null
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationDiff.kt
@@ -0,0 +1,79 @@
+package cicadagauge.declaration
+
+/** One difference between two declarations. */
+public data class Change(val kind: Kind, val what: String, val name: String) {
+    /** What happens to a part of the declaration. */
+    public enum class Kind(public val sign: String) { Added("+"), Removed("-"), Changed("~") }
+
+    override fun toString(): String = "${kind.sign} $what $name"
+}
+
+/** Compares declarations part by part. */
+public object DeclarationDiff {
+    /** What changes from [before], null where there is none, to [after]. */
+    public fun between(before: Declaration?, after: Declaration): List<Change> = listOf(
+        compare(
+            "availability zone",
+            before?.zones.orEmpty().associateBy {
+                it.value
+            },
+            after.zones.associateBy { it.value },
+        ),
+        compare(
+            "pool",
+            before?.pools.orEmpty().associateBy {
+                it.name.value
+            },
+            after.pools.associateBy { it.name.value },
+        ),
+        compare("upstream", upstreams(before), upstreams(after)),
+        compare(
+            "route",
+            before?.routes.orEmpty().associateBy {
+                it.name.value
+            },
+            after.routes.associateBy { it.name.value },
+        ),
+        compare(
+            "tenant",
+            before?.tenants.orEmpty().associateBy {
+                it.name.value
+            },
+            after.tenants.associateBy { it.name.value },
+        ),
+        compare("entry VMs", vmCount(before), vmCount(after)),
+        compare(
+            "zone out",
+            before?.zonesOut.orEmpty().associateBy {
+                it.value
+            },
+            after.zonesOut.associateBy { it.value },
+        ),
+        compare(
+            "upstream out",
+            before?.upstreamsOut.orEmpty().associateBy {
+                it.value
+            },
+            after.upstreamsOut.associateBy { it.value },
+        ),
+    ).flatten()
+
+    private fun upstreams(declaration: Declaration?): Map<String, Upstream> =
+        declaration?.pools.orEmpty().flatMap { it.upstreams }.associateBy { it.id.value }
+
+    private fun vmCount(declaration: Declaration?): Map<String, Int> =
+        declaration?.let { mapOf("count" to it.entryVms) }.orEmpty()
+
+    private fun <T> compare(what: String, before: Map<String, T>, after: Map<String, T>): List<Change> {
+        val names = (before.keys + after.keys).sorted()
+        return names.mapNotNull { name ->
+            val kind = when {
+                name !in before -> Change.Kind.Added
+                name !in after -> Change.Kind.Removed
+                before[name] != after[name] -> Change.Kind.Changed
+                else -> return@mapNotNull null
+            }
+            Change(kind, what, name)
+        }
+    }
+}
--- /dev/null
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationWriter.kt
@@ -0,0 +1,110 @@
+/*
+ * Writes a declaration in its YAML form. Operators' commands that change a part of the declaration in force, such as
+ * taking a zone out, write the whole of it anew.
+ */
+package cicadagauge.declaration
+
+import com.fasterxml.jackson.annotation.JsonInclude
+import com.fasterxml.jackson.databind.SerializationFeature
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper
+import com.fasterxml.jackson.module.kotlin.kotlinModule
+
+/** Writes declarations as YAML. */
+public object DeclarationWriter {
+    private val mapper = YAMLMapper.builder(YAMLFactory().disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER))
+        .addModule(kotlinModule())
+        .defaultPropertyInclusion(
+            JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.NON_NULL),
+        )
+        .disable(SerializationFeature.FAIL_ON_EMPTY_BEANS)
+        .build()
+
+    /** The text of [declaration]. */
+    public fun write(declaration: Declaration): String = mapper.writeValueAsString(
+        Document(
+            zones = declaration.zones.map { it.value },
+            entryVms = declaration.entryVms,
+            pools = declaration.pools.map(::pool),
+            routes = declaration.routes.map(::route),
+            tenants = declaration.tenants.map(::tenant),
+            zonesOut = declaration.zonesOut.map { it.value },
+            upstreamsOut = declaration.upstreamsOut.map { it.value },
+        ),
+    )
+
+    private fun pool(pool: Pool) = PoolText(
+        name = pool.name.value,
+        keyed = pool.keyed,
+        slots = pool.slots,
+        fenced = pool.fenced,
+        concurrency = pool.concurrency,
+        connections = pool.connections,
+        upstreams = pool.upstreams.map { UpstreamText(it.id.value, it.address.toString(), it.zone.value) },
+    )
+
+    private fun route(route: Route) = RouteText(
+        name = route.name.value,
+        path = route.path,
+        methods = route.methods.toList(),
+        pool = route.pool.value,
+        key = route.key?.let(::key),
+        `class` = route.requestClass.name.lowercase(),
+        idempotent = route.idempotent,
+        deadlineMillis = route.deadline.inWholeMilliseconds,
+        open = route.open,
+    )
+
+    private fun key(key: KeySource) = when (key) {
+        is KeySource.Header -> KeyText("header", key.name)
+        is KeySource.PathSegment -> KeyText("path", key.name)
+        is KeySource.QueryParameter -> KeyText("query", key.name)
+    }
+
+    private fun tenant(tenant: Tenant) =
+        TenantText(tenant.name.value, tenant.ratePerSecond, tenant.burst, tenant.keyHashes.map { it.value })
+
+    private data class Document(
+        val zones: List<String>,
+        val entryVms: Int,
+        val pools: List<PoolText>,
+        val routes: List<RouteText>,
+        val tenants: List<TenantText>,
+        val zonesOut: List<String>,
+        val upstreamsOut: List<String>,
+    )
+
+    private data class PoolText(
+        val name: String,
+        val keyed: Boolean,
+        val slots: Int,
+        val fenced: Boolean,
+        val concurrency: Int,
+        val connections: Int,
+        val upstreams: List<UpstreamText>,
+    )
+
+    private data class UpstreamText(val id: String, val address: String, val zone: String)
+
+    private data class RouteText(
+        val name: String,
+        val path: String,
+        val methods: List<String>,
+        val pool: String,
+        val key: KeyText?,
+        val `class`: String,
+        val idempotent: Boolean,
+        val deadlineMillis: Long,
+        val open: Boolean,
+    )
+
+    private data class KeyText(val from: String, val name: String)
+
+    private data class TenantText(
+        val name: String,
+        val ratePerSecond: Double,
+        val burst: Int,
+        val keyHashes: List<String>,
+    )
+}
--- /dev/null
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/store/Json.kt
@@ -0,0 +1,67 @@
+package cicadagauge.store
+
+import cicadagauge.ownership.GrantOrder
+import cicadagauge.ownership.SlotSet
+import cicadagauge.peer.PeerMessage
+import com.fasterxml.jackson.annotation.JsonTypeInfo
+import com.fasterxml.jackson.core.JsonGenerator
+import com.fasterxml.jackson.core.JsonParser
+import com.fasterxml.jackson.databind.DeserializationContext
+import com.fasterxml.jackson.databind.DeserializationFeature
+import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.databind.SerializerProvider
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer
+import com.fasterxml.jackson.databind.module.SimpleModule
+import com.fasterxml.jackson.databind.ser.std.StdSerializer
+import com.fasterxml.jackson.module.kotlin.KotlinFeature
+import com.fasterxml.jackson.module.kotlin.jacksonMapperBuilder
+import java.time.Duration
+
+/** The mapper that all of the router's JSON goes through. */
+public object Json {
+    public val mapper: ObjectMapper = jacksonMapperBuilder { enable(KotlinFeature.UseJavaDurationConversion) }
+        .addModule(valueModule())
+        .addMixIn(PeerMessage::class.java, Tagged::class.java)
+        .addMixIn(GrantOrder::class.java, Tagged::class.java)
+        .addMixIn(StoreCall::class.java, Tagged::class.java)
+        .addMixIn(StoreReply::class.java, Tagged::class.java)
+        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+        .build()
+        .apply { registerSubtypes(subtypes()) }
+
+    private fun subtypes(): List<Class<*>> =
+        listOf(PeerMessage::class, GrantOrder::class, StoreCall::class, StoreReply::class)
+            .flatMap { it.java.declaredClasses.toList() }
+
+    private fun valueModule(): SimpleModule = SimpleModule()
+        .addSerializer(SlotSet::class.java, SlotSetSerializer())
+        .addDeserializer(SlotSet::class.java, SlotSetDeserializer())
+        .addSerializer(Duration::class.java, DurationSerializer())
+        .addDeserializer(Duration::class.java, DurationDeserializer())
+
+    /** Writes the class's simple name as `type`, so that a message can be read back as what it was. */
+    @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
+    private interface Tagged
+
+    private class SlotSetSerializer : StdSerializer<SlotSet>(SlotSet::class.java) {
+        override fun serialize(value: SlotSet, generator: JsonGenerator, provider: SerializerProvider) {
+            generator.writeBinary(value.toByteArray())
+        }
+    }
+
+    private class SlotSetDeserializer : StdDeserializer<SlotSet>(SlotSet::class.java) {
+        override fun deserialize(parser: JsonParser, context: DeserializationContext): SlotSet =
+            SlotSet.of(parser.binaryValue)
+    }
+
+    private class DurationSerializer : StdSerializer<Duration>(Duration::class.java) {
+        override fun serialize(value: Duration, generator: JsonGenerator, provider: SerializerProvider) {
+            generator.writeNumber(value.toNanos())
+        }
+    }
+
+    private class DurationDeserializer : StdDeserializer<Duration>(Duration::class.java) {
+        override fun deserialize(parser: JsonParser, context: DeserializationContext): Duration =
+            Duration.ofNanos(parser.longValue)
+    }
+}
--- /dev/null
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/store/JsonCodecs.kt
@@ -0,0 +1,46 @@
+/*
+ * The JSON forms of what the platform store holds and of what the VMs send each other. Identifiers are written as
+ * plain strings and numbers, durations as nanoseconds, sets of slots as Base64.
+ */
+package cicadagauge.store
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.DeclarationReader
+import cicadagauge.declaration.YamlDeclarationReader
+import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.OperationId
+import cicadagauge.ownership.OwnershipRecord
+import com.fasterxml.jackson.core.JsonProcessingException
+
+/** Ownership records as JSON. */
+public class JsonRecordCodec : RecordCodec {
+    override fun encode(record: OwnershipRecord): String = Json.mapper.writeValueAsString(record)
+
+    override fun decode(text: String): Either<CodecError, OwnershipRecord> =
+        readJson(text) { Json.mapper.readValue(it, OwnershipRecord::class.java) }
+}
+
+/** Accepted declarations: a JSON envelope round the operators' own text. */
+public class JsonDeclarationCodec(private val reader: DeclarationReader = YamlDeclarationReader()) : DeclarationCodec {
+    /** The envelope's text for [stored]. */
+    public fun seal(stored: StoredDeclaration): String =
+        Json.mapper.writeValueAsString(Envelope(stored.version.value, stored.operation.value, stored.text))
+
+    override fun open(text: String): Either<CodecError, StoredDeclaration> =
+        readJson(text) { Json.mapper.readValue(it, Envelope::class.java) }
+            .map { StoredDeclaration(DeclarationVersion(it.version), OperationId(it.operation), it.text) }
+
+    override fun parse(text: String): Either<CodecError, Declaration> =
+        reader.read(text).mapLeft { problems -> CodecError(problems.joinToString("; ")) }
+
+    private data class Envelope(val version: Long, val operation: String, val text: String)
+}
+
+private fun <T> readJson(text: String, read: (String) -> T): Either<CodecError, T> = try {
+    read(text).right()
+} catch (e: JsonProcessingException) {
+    CodecError(e.originalMessage.orEmpty()).left()
+}
--- /dev/null
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -0,0 +1,133 @@
+package cicadagauge.store
+
+import cicadagauge.declaration.RequestClass
+import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.Incarnation
+import cicadagauge.identity.Moment
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.RecordVersion
+import cicadagauge.identity.RequestId
+import cicadagauge.identity.Slot
+import cicadagauge.identity.TenantName
+import cicadagauge.identity.Term
+import cicadagauge.identity.UpstreamId
+import cicadagauge.identity.VmId
+import cicadagauge.outcome.Reason
+import cicadagauge.outcome.Refusal
+import cicadagauge.ownership.GrantContent
+import cicadagauge.ownership.GrantOrder
+import cicadagauge.ownership.GrantPhase
+import cicadagauge.ownership.GrantReport
+import cicadagauge.ownership.GrantStep
+import cicadagauge.ownership.Member
+import cicadagauge.ownership.OwnershipRecord
+import cicadagauge.ownership.SlotException
+import cicadagauge.ownership.SlotSet
+import cicadagauge.peer.PeerMessage
+import cicadagauge.peer.PlaceResult
+import cicadagauge.peer.RecordDigest
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class JsonTest :
+    FunSpec({
+        val pool = PoolName("catalogue")
+        val slots = SlotSet.of(300) { it.index % 3 == 0 }
+        val record = OwnershipRecord(
+            pool = pool,
+            term = Term(3),
+            version = RecordVersion(7),
+            allocator = VmId("vm-1"),
+            slots = 300,
+            members = listOf(Member(UpstreamId("a")), Member(UpstreamId("b"), share = 25)),
+            exceptions = listOf(SlotException(Slot(4), UpstreamId("b"))),
+            predecessors = setOf(VmId("vm-0")),
+        )
+        val step = GrantStep(Term(3), RecordVersion(7), GrantPhase.Shrink)
+
+        test("every peer message reads back as it was written") {
+            val messages = listOf(
+                PeerMessage.DeclarationUpdate(DeclarationVersion(4), "text"),
+                PeerMessage.RecordUpdate(record),
+                PeerMessage.Digest(DeclarationVersion(4), listOf(RecordDigest(pool, Term(3), RecordVersion(7)))),
+                PeerMessage.BudgetRequest(TenantName("t"), 5, Moment(12), 3),
+                PeerMessage.BudgetRequest(TenantName("t"), 5, null, 3),
+                PeerMessage.BudgetReply(TenantName("t"), 5, Moment(12), 3),
+                PeerMessage.Reserve(pool, RequestId(9), Slot(2), RequestClass.Urgent, TenantName("t"), 1.5.seconds),
+                PeerMessage.Reserve(pool, RequestId(9), null, RequestClass.Urgent, TenantName("t"), 1.5.seconds),
+                PeerMessage.Reserved(pool, RequestId(9), UpstreamId("a")),
+                PeerMessage.Denied(pool, RequestId(9), Refusal(Reason.Overloaded, "full", 20.milliseconds)),
+                PeerMessage.Denied(pool, RequestId(9), Refusal(Reason.Overloaded, "full")),
+                PeerMessage.Release(pool, RequestId(9), PlaceResult.Served, 7.milliseconds),
+                PeerMessage.Yield(pool, Term(3)),
+                PeerMessage.Yielded(pool, Term(3)),
+            )
+            for (message in messages) {
+                Json.mapper.readValue(Json.mapper.writeValueAsString(message), PeerMessage::class.java) shouldBe message
+            }
+        }
+
+        test("grant orders and reports read back as they were written") {
+            val lease = GrantOrder.Lease(
+                pool = pool,
+                upstream = UpstreamId("a"),
+                term = Term(3),
+                incarnation = Incarnation("run-1"),
+                step = step,
+                content = GrantContent(slots, record.members),
+                expiresAt = Moment(99),
+            )
+            for (order in listOf(lease, lease.copy(content = null), GrantOrder.Claim(pool, UpstreamId("a"), Term(3)))) {
+                Json.mapper.readValue(Json.mapper.writeValueAsString(order), GrantOrder::class.java) shouldBe order
+            }
+            val report = GrantReport(
+                pool = pool,
+                upstream = UpstreamId("a"),
+                incarnation = Incarnation("run-1"),
+                reading = Moment(7),
+                accepted = true,
+                term = Term(3),
+                step = step,
+                slots = slots,
+                leaseValid = true,
+                members = record.members,
+            )
+            Json.mapper.readValue(Json.mapper.writeValueAsString(report), GrantReport::class.java) shouldBe report
+        }
+
+        test("store calls and replies read back as they were written") {
+            val entry = StoreEntry(StoreKey("k"), "v", StoreRevision(3))
+            val calls = listOf(
+                StoreCall.Get(StoreKey("k")),
+                StoreCall.Put(StoreKey("k"), "v", StoreRevision(2), StoreLeaseId(1)),
+                StoreCall.Put(StoreKey("k"), "v", StoreRevision(2)),
+                StoreCall.Delete(StoreKey("k"), StoreRevision(2)),
+                StoreCall.Watch("", StoreRevision(2), 10.seconds),
+                StoreCall.CreateLease(1.seconds),
+                StoreCall.RenewLease(StoreLeaseId(1)),
+            )
+            for (call in calls) {
+                Json.mapper.readValue(Json.mapper.writeValueAsString(call), StoreCall::class.java) shouldBe call
+            }
+            val replies = listOf(
+                StoreReply.Found(entry),
+                StoreReply.Found(entry.copy(value = null)),
+                StoreReply.Written(StoreRevision(3)),
+                StoreReply.Conflict(entry),
+                StoreReply.Changes(listOf(entry), StoreRevision(3)),
+                StoreReply.LeaseHeld(StoreLeaseId(1)),
+                StoreReply.LeaseLapsed,
+            )
+            for (reply in replies) {
+                Json.mapper.readValue(Json.mapper.writeValueAsString(reply), StoreReply::class.java) shouldBe reply
+            }
+        }
+
+        test("records read back as they were written and broken ones are refused") {
+            val codec = JsonRecordCodec()
+            codec.decode(codec.encode(record)).getOrNull() shouldBe record
+            codec.decode("{").isLeft() shouldBe true
+        }
+    })
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/Authenticator.kt
@@ -0,0 +1,41 @@
+/*
+ * Finds the tenant of a key. Only hashes are kept. The look-up table is indexed by the hash of the presented key,
+ * which a caller can't steer towards a stored one, and the final comparison takes constant time.
+ */
+package cicadagauge.admission
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.Tenant
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** The tenants' keys of one declaration. */
+public class Authenticator(declaration: Declaration) {
+    private val digest = MessageDigest.getInstance("SHA-256")
+    private val entries = HashMap<Long, List<Entry>>()
+
+    init {
+        val all = declaration.tenants.flatMap { tenant ->
+            tenant.keyHashes.map { Entry(HexFormat.of().parseHex(it.value), tenant) }
+        }
+        entries.putAll(all.groupBy { prefix(it.hash) })
+    }
+
+    /** The tenant that [key] belongs to, or null. */
+    public fun tenantOf(key: String): Tenant? {
+        val hash = digest.digest(key.toByteArray(Charsets.UTF_8))
+        return entries[prefix(hash)]?.firstOrNull { MessageDigest.isEqual(it.hash, hash) }?.tenant
+    }
+
+    private class Entry(val hash: ByteArray, val tenant: Tenant)
+
+    private companion object {
+        const val BYTE_MASK = 0xffL
+        const val BITS_PER_BYTE = 8
+
+        fun prefix(hash: ByteArray): Long = (0 until Long.SIZE_BYTES).fold(0L) { sum, index ->
+            (sum shl BITS_PER_BYTE) or
+                (hash[index].toLong() and BYTE_MASK)
+        }
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/Portion.kt
@@ -0,0 +1,23 @@
+package cicadagauge.admission
+
+import cicadagauge.declaration.Tenant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** One entry VM's part of a tenant's rate and burst. */
+internal data class Portion(val ratePerSecond: Double, val burst: Double) {
+    /** How long a lent token may be kept before it is used: it never takes more than half of the burst. */
+    fun loan(limit: Duration): Duration = minOf(limit, (burst / (2 * ratePerSecond)).seconds)
+
+    /**
+     * The most that a keeper may have in hand of this portion. A token may be used up to [loan] after it was lent,
+     * so that much of the burst is set aside.
+     */
+    fun lendable(limit: Duration): Double = burst - ratePerSecond * loan(limit).toDouble(DurationUnit.SECONDS)
+
+    companion object {
+        /** The portion of [tenant] where [vms] share it. */
+        fun of(tenant: Tenant, vms: Int): Portion = Portion(tenant.ratePerSecond / vms, tenant.burst.toDouble() / vms)
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
@@ -0,0 +1,103 @@
+/*
+ * The first steps of a request: its route, its tenant, its key and its deadline are found, and its tenant's budget
+ * lets it through or not. Everything that can be refused here is refused before any upstream sees it.
+ */
+package cicadagauge.admission
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.Tenant
+import cicadagauge.dispatch.Dispatcher
+import cicadagauge.dispatch.PendingRequest
+import cicadagauge.identity.Moment
+import cicadagauge.identity.RequestId
+import cicadagauge.identity.TenantName
+import cicadagauge.node.Effect
+import cicadagauge.node.Effects
+import cicadagauge.node.RequestHead
+import cicadagauge.outcome.Reason
+import cicadagauge.outcome.Refusal
+import cicadagauge.routing.OwnerDirectory
+import cicadagauge.routing.RouteMatch
+import cicadagauge.routing.RouteTable
+import kotlin.time.Duration
+
+/** Admits callers' requests under the declaration in force. */
+internal class RequestAdmission(
+    private val owners: OwnerDirectory,
+    private val budgets: TenantBudgets,
+    private val dispatcher: Dispatcher,
+    private val effects: Effects,
+) {
+    private var routes: RouteTable? = null
+    private var authenticator: Authenticator? = null
+
+    /** Takes the routes and tenants of [declaration] over. */
+    fun configure(declaration: Declaration) {
+        routes = RouteTable(declaration)
+        authenticator = Authenticator(declaration)
+    }
+
+    /** Takes a request in. */
+    fun arrived(id: RequestId, head: RequestHead, now: Moment) {
+        val table = routes ?: return refuse(id, Reason.NoConfiguration, "no declaration is in force yet")
+        when (val match = table.match(head.method, head.path)) {
+            is RouteMatch.Found -> found(id, head, match, now)
+            is RouteMatch.WrongMethod ->
+                refuse(id, Reason.MethodNotAllowed, "allowed: ${match.allowed.sorted().joinToString()}")
+            RouteMatch.NoRoute -> refuse(id, Reason.NoRoute, "no route has this path")
+            RouteMatch.BadPath -> refuse(id, Reason.BadRequest, "the path has empty, '.' or '..' segments")
+        }
+    }
+
+    private fun found(id: RequestId, head: RequestHead, match: RouteMatch.Found, now: Moment) {
+        val route = match.route
+        val tenant = if (route.open) null else tenantOf(head)
+        effects.add(Effect.Attribute(id, tenant?.name, route.requestClass))
+        if (!route.open && tenant == null) return refuse(id, Reason.Unauthenticated, "a valid key is needed")
+        val key = match.extractor?.extract(head)
+        if (match.extractor != null && key == null) return refuse(id, Reason.MissingKey, "the route's key is missing")
+        val limit = head.deadline ?: route.deadline
+        if (limit <=
+            Duration.ZERO
+        ) {
+            return refuse(id, Reason.BadDeadline, "the deadline must be a positive number of milliseconds")
+        }
+        val slot = key?.let { owners[match.pool.name]?.slotOf(it) }
+        if (match.pool.keyed && slot == null) return refuse(id, Reason.OwnerUnavailable, "no owner is known yet")
+        val request = PendingRequest(
+            id = id,
+            route = route,
+            pool = match.pool,
+            tenant = tenant?.name ?: OPEN,
+            slot = slot.takeIf { match.pool.keyed },
+            deadline = now + minOf(limit, route.deadline),
+        )
+        if (tenant == null) return dispatcher.accept(request, now)
+        budgets.admit(tenant.name, Decision(request), now)
+    }
+
+    private fun tenantOf(head: RequestHead): Tenant? {
+        val key = head.header(KEY_HEADER) ?: return null
+        return authenticator?.tenantOf(key)
+    }
+
+    private fun refuse(id: RequestId, reason: Reason, detail: String) {
+        effects.add(Effect.Refuse(id, Refusal(reason, detail)))
+    }
+
+    private inner class Decision(private val request: PendingRequest) : TenantBudgets.Waiter {
+        override fun admitted(now: Moment): Unit = dispatcher.accept(request, now)
+
+        override fun refused(retryAfter: Duration, now: Moment) {
+            val refusal = Refusal(Reason.RateExceeded, "the tenant's rate is used up", retryAfter)
+            effects.add(Effect.Refuse(request.id, refusal))
+        }
+    }
+
+    companion object {
+        /** The header that carries a tenant's key, in lower case. */
+        const val KEY_HEADER: String = "x-api-key"
+
+        private val OPEN = TenantName("-")
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/SeatHolder.kt
@@ -0,0 +1,71 @@
+/*
+ * Which VMs are entitled to a portion of the tenants' rates. There are as many seats as the declaration has entry
+ * VMs; a VM that the platform lists no longer gives its seat up. Seats are agreed by compare-and-swap in the store.
+ */
+package cicadagauge.admission
+
+import cicadagauge.identity.Moment
+import cicadagauge.identity.VmId
+import cicadagauge.membership.VmDirectory
+import cicadagauge.node.Timers
+import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreClient
+import cicadagauge.store.StoreEntry
+import cicadagauge.store.StoreKeys
+import cicadagauge.store.StoreReply
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Obtains and keeps this VM's seat. */
+internal class SeatHolder(private val vms: VmDirectory, private val store: StoreClient, private val timers: Timers) {
+    private var seats = 0
+    private var held = false
+    private var seeking = false
+
+    /** Whether this VM has a seat. */
+    fun seated(): Boolean = held
+
+    /** There are [count] seats from now on. */
+    fun configure(count: Int, now: Moment) {
+        seats = count
+        seek(now)
+    }
+
+    private fun seek(now: Moment) {
+        if (held || seeking || seats == 0 || !vms.isListed()) return later(now)
+        seeking = true
+        store.call(StoreCall.Get(StoreKeys.SEATS)) { reply, moment ->
+            if (reply is StoreReply.Found) claim(reply.entry, moment) else finish(moment)
+        }
+    }
+
+    private fun claim(entry: StoreEntry, now: Moment) {
+        val holders = entry.value.orEmpty().split(SEPARATOR).filter { it.isNotEmpty() }.map(::VmId)
+        val live = holders.filter { it == vms.self || vms.isListed(it) }
+        if (vms.self in live) return done(now)
+        if (live.size >= seats) return finish(now)
+        val text = (live + vms.self).joinToString(SEPARATOR) { it.value }
+        store.call(StoreCall.Put(StoreKeys.SEATS, text, entry.revision)) { reply, moment ->
+            if (reply is StoreReply.Written) done(moment) else finish(moment)
+        }
+    }
+
+    private fun done(now: Moment) {
+        held = true
+        finish(now)
+    }
+
+    private fun finish(now: Moment) {
+        seeking = false
+        later(now)
+    }
+
+    private fun later(now: Moment) {
+        if (!held && !seeking) timers.at(now + RETRY) { seek(it) }
+    }
+
+    private companion object {
+        const val SEPARATOR = ","
+        val RETRY: Duration = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudget.kt
@@ -0,0 +1,156 @@
+/*
+ * A VM's side of one tenant's budget: tokens borrowed from the keeper while there is one, its own portion while
+ * there is none. The own portion is never used before every waiver of it has run out at the keeper.
+ */
+package cicadagauge.admission
+
+import cicadagauge.identity.Moment
+import cicadagauge.identity.TenantName
+import cicadagauge.identity.VmId
+import cicadagauge.node.BudgetSettings
+import cicadagauge.peer.PeerMessage
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Admits one tenant's requests on one VM. [seated] says whether this VM is entitled to a portion. */
+internal class TenantBudget(
+    private val tenant: TenantName,
+    private var portion: Portion,
+    private val settings: BudgetSettings,
+    private val seated: () -> Boolean,
+    start: Moment,
+) {
+    private val waiverTime = settings.waiver * (1 + 2 * settings.clockDrift)
+    private val own = TokenBucket(portion.ratePerSecond, portion.burst, start)
+    private var ownFrom = start + waiverTime
+    private var waivedTo: VmId? = null
+    private var keeper: VmId? = null
+    private var stamp: Stamp? = null
+    private val loans = ArrayDeque<Loan>()
+    private val demand = DemandMeter(start)
+    private var sequence = 0L
+    private var sentAt = Moment.PAST
+    private var answered = true
+    private var emptyUntil = Moment.PAST
+
+    init {
+        own.empty(from = ownFrom)
+    }
+
+    /** Counts one request that arrives. */
+    fun count(): Unit = demand.count()
+
+    /** Takes a token for one request if there is one. */
+    fun take(now: Moment): Boolean {
+        val loan = currentLoan(now)
+        if (loan != null) {
+            loan.tokens--
+            return true
+        }
+        return seated() && now >= ownFrom && own.take(1, now) == 1
+    }
+
+    /** Whether a request that found no token at [now] may wait for the keeper's answer. */
+    fun mayWait(now: Moment): Boolean = keeper != null && now >= emptyUntil && (answered || now < answerDue())
+
+    /** Whether the keeper's answer is missing at [now]. */
+    fun isOverdue(now: Moment): Boolean = !answered && now >= answerDue()
+
+    /** When the keeper's answer to the last request counts as missing. */
+    fun answerDue(): Moment = sentAt + settings.answerWait
+
+    /** Whether to ask the keeper at [now], while [waiting] requests have found no token. */
+    fun wantsRequest(waiting: Int, now: Moment): Boolean {
+        if (!answered && now < answerDue()) return false
+        if (now >= sentAt + settings.refresh) return true
+        if (now < emptyUntil) return false
+        return waiting > 0 || available(now) < demand.expected(settings.refresh) / 2
+    }
+
+    /** The message that asks [vm], the tenant's keeper, for tokens and waives the own portion to it. */
+    fun request(vm: VmId, waiting: Int, now: Moment): PeerMessage.BudgetRequest {
+        if (vm != keeper) switchTo(vm)
+        demand.measure(settings.refresh / 2, now)
+        val waived = waiverFor(vm, now)
+        sequence++
+        sentAt = now
+        answered = false
+        val wanted = ceil(demand.expected(settings.refresh * 2)).toInt() + waiting - available(now)
+        return PeerMessage.BudgetRequest(tenant, sequence, waived, maxOf(0, wanted))
+    }
+
+    /** Takes the keeper's reply; an answer to an earlier request, or of another keeper, lends nothing. */
+    fun reply(from: VmId, reply: PeerMessage.BudgetReply, now: Moment) {
+        if (from != keeper || reply.sequence != sequence || answered) return
+        answered = true
+        stamp = Stamp(reply.stamp, now)
+        if (reply.tokens == 0) {
+            emptyUntil = now + settings.emptyPause
+            return
+        }
+        val until = sentAt + portion.loan(settings.maxLoan)
+        if (now < until) loans.addLast(Loan(reply.tokens, until))
+    }
+
+    /** How long a refused request's caller should wait. */
+    fun retryAfter(): Duration = settings.refresh
+
+    /** Uses [newPortion] from [now] on. */
+    fun redefine(newPortion: Portion, now: Moment) {
+        portion = newPortion
+        own.resize(newPortion.ratePerSecond, newPortion.burst, now)
+    }
+
+    /** Renews the waiver to [vm], or makes one if no other is still running; null where nothing is waived. */
+    private fun waiverFor(vm: VmId, now: Moment): Moment? {
+        val proof = stamp ?: return null
+        if (!seated() || (waivedTo != vm && now < ownFrom)) return null
+        waivedTo = vm
+        ownFrom = maxOf(ownFrom, proof.receivedAt + waiverTime)
+        own.empty(from = ownFrom)
+        return proof.reading
+    }
+
+    private fun switchTo(vm: VmId) {
+        keeper = vm
+        stamp = null
+    }
+
+    private fun currentLoan(now: Moment): Loan? {
+        while (true) {
+            val loan = loans.firstOrNull() ?: return null
+            if (loan.tokens > 0 && now < loan.until) return loan
+            loans.removeFirst()
+        }
+    }
+
+    private fun available(now: Moment): Int = loans.sumOf { if (now < it.until) it.tokens else 0 }
+
+    private class Loan(var tokens: Int, val until: Moment)
+
+    private class Stamp(val reading: Moment, val receivedAt: Moment)
+}
+
+/** Estimates how many requests arrive, from recent windows. */
+internal class DemandMeter(private var since: Moment) {
+    private var arrivals = 0
+    private var rate = 0.0
+
+    /** Counts one request. */
+    fun count() {
+        arrivals++
+    }
+
+    /** Ends the present window at [now] if it has lasted for [window]. */
+    fun measure(window: Duration, now: Moment) {
+        val elapsed = now - since
+        if (elapsed < window) return
+        rate = (rate + arrivals / elapsed.toDouble(DurationUnit.SECONDS)) / 2
+        arrivals = 0
+        since = now
+    }
+
+    /** The requests to expect within [period]. */
+    fun expected(period: Duration): Double = rate * period.toDouble(DurationUnit.SECONDS)
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudgets.kt
@@ -0,0 +1,119 @@
+/*
+ * All tenants' budgets on one VM, in both roles: the VM's own side of each, and the keeper's side of those that
+ * this VM keeps. Keepers are chosen by rendezvous hashing over the live VMs; a disagreement costs refusals only.
+ */
+package cicadagauge.admission
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.identity.Moment
+import cicadagauge.identity.TenantName
+import cicadagauge.identity.VmId
+import cicadagauge.membership.VmDirectory
+import cicadagauge.node.BudgetSettings
+import cicadagauge.node.Timers
+import cicadagauge.peer.PeerMessage
+import kotlin.time.Duration
+
+/** Admits requests by tenant. A request that must wait for the keeper is decided through its [Waiter]. */
+internal class TenantBudgets(
+    private val vms: VmDirectory,
+    private val seats: SeatHolder,
+    private val settings: BudgetSettings,
+    private val timers: Timers,
+    private val start: Moment,
+) {
+    private val accounts = HashMap<TenantName, Account>()
+    private val keepers = HashMap<TenantName, BudgetKeeper>()
+    private var portions: Map<TenantName, Portion> = emptyMap()
+
+    /** Decides about a request. [admitted] and [refused] are called now or later, exactly one of them once. */
+    interface Waiter {
+        fun admitted(now: Moment)
+
+        fun refused(retryAfter: Duration, now: Moment)
+    }
+
+    /** Takes the tenants of [declaration] over; a tenant that is gone is forgotten. */
+    fun configure(declaration: Declaration, now: Moment) {
+        portions = declaration.tenants.associate { it.name to Portion.of(it, declaration.entryVms) }
+        val gone = accounts.keys - portions.keys
+        gone.forEach { name -> accounts.remove(name)?.refuseAll(now) }
+        keepers.keys.retainAll(portions.keys)
+        for ((name, portion) in portions) {
+            keepers[name]?.redefine(portion, now)
+            accounts.getOrPut(name) { Account(name, portion) }.budget.redefine(portion, now)
+        }
+        refresh(now)
+    }
+
+    /** Admits one request of [tenant], makes it wait, or refuses it. */
+    fun admit(tenant: TenantName, waiter: Waiter, now: Moment) {
+        val account = accounts.getValue(tenant)
+        account.budget.count()
+        if (account.waiting.isEmpty() && account.budget.take(now)) return waiter.admitted(now)
+        val mayWait = account.budget.mayWait(now) && account.waiting.size < settings.maxWaiting
+        if (!mayWait) return waiter.refused(account.budget.retryAfter(), now)
+        account.waiting.addLast(waiter)
+        ask(account, now)
+    }
+
+    /** Answers another VM's, or this VM's own, request for tokens. */
+    fun keep(from: VmId, request: PeerMessage.BudgetRequest, now: Moment): PeerMessage.BudgetReply? {
+        val portion = portions[request.tenant] ?: return null
+        val keeper = keepers.getOrPut(request.tenant) { BudgetKeeper(portion, settings, now) }
+        val tokens = keeper.request(from, request.stamp, request.demand, now)
+        return PeerMessage.BudgetReply(request.tenant, request.sequence, stamp = now, tokens = tokens)
+    }
+
+    /** Takes a keeper's reply and decides about the requests that waited for it. */
+    fun replied(from: VmId, reply: PeerMessage.BudgetReply, now: Moment) {
+        val account = accounts[reply.tenant] ?: return
+        account.budget.reply(from, reply, now)
+        account.settle(now)
+    }
+
+    /** Asks every keeper that is due, and asks again after the refresh time. */
+    fun refresh(now: Moment) {
+        for (account in accounts.values) ask(account, now)
+    }
+
+    /** Starts the periodic refresh. */
+    fun start(now: Moment) {
+        refresh(now)
+        timers.at(now + settings.refresh / 2, ::start)
+    }
+
+    private fun ask(account: Account, now: Moment) {
+        if (!account.budget.wantsRequest(account.waiting.size, now)) return
+        val keeper = vms.ranked("budget/${account.tenant}").firstOrNull() ?: return
+        val request = account.budget.request(keeper.id, account.waiting.size, now)
+        if (keeper.id == vms.self) {
+            keep(vms.self, request, now)?.let { replied(vms.self, it, now) }
+        } else {
+            vms.send(keeper, request)
+            timers.at(account.budget.answerDue()) { account.expire(keeper.id, it) }
+        }
+    }
+
+    private inner class Account(val tenant: TenantName, portion: Portion) {
+        val budget = TenantBudget(tenant, portion, settings, seats::seated, start)
+        val waiting = ArrayDeque<Waiter>()
+
+        /** Admits as many waiting requests as there are tokens for, and refuses the others. */
+        fun settle(now: Moment) {
+            while (waiting.isNotEmpty() && budget.take(now)) waiting.removeFirst().admitted(now)
+            refuseAll(now)
+        }
+
+        /** Gives up waiting for an answer that is overdue. */
+        fun expire(keeper: VmId, now: Moment) {
+            if (!budget.isOverdue(now)) return
+            vms.suspect(keeper, until = now + settings.suspicion)
+            settle(now)
+        }
+
+        fun refuseAll(now: Moment) {
+            while (waiting.isNotEmpty()) waiting.removeFirst().refused(budget.retryAfter(), now)
+        }
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/configuration/DeclarationHolder.kt
@@ -0,0 +1,56 @@
+package cicadagauge.configuration
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.Moment
+import cicadagauge.node.Effect
+import cicadagauge.node.Effects
+import cicadagauge.node.StateChange
+import cicadagauge.peer.PeerMessage
+import cicadagauge.store.DeclarationCodec
+
+/**
+ * The declaration that is in force on this VM. Only a higher version replaces it, so an accepted declaration never
+ * reverts; a text that can't be read leaves the one before it in force.
+ */
+internal class DeclarationHolder(
+    private val codec: DeclarationCodec,
+    private val effects: Effects,
+    private val inForce: (Declaration, Moment) -> Unit,
+) {
+    private var text = ""
+    private var unreadable = DeclarationVersion.NONE
+
+    /** The version in force. */
+    var version: DeclarationVersion = DeclarationVersion.NONE
+        private set
+
+    /** The declaration in force, or null before the first. */
+    var current: Declaration? = null
+        private set
+
+    /** Takes the store's [envelope] in; true where it was new. */
+    fun offer(envelope: String, now: Moment): Boolean = codec.open(envelope).fold({ false }) { stored ->
+        stored.version > version && adopt(stored.version, stored.text, envelope, now)
+    }
+
+    /** The message that passes the declaration on, or null before the first. */
+    fun update(): PeerMessage.DeclarationUpdate? =
+        if (current == null) null else PeerMessage.DeclarationUpdate(version, text)
+
+    private fun adopt(newVersion: DeclarationVersion, source: String, envelope: String, now: Moment): Boolean =
+        codec.parse(source).fold({ error ->
+            if (newVersion > unreadable) {
+                unreadable = newVersion
+                effects.add(Effect.StateChanged(StateChange.DeclarationUnreadable(newVersion, error.problem)))
+            }
+            false
+        }) { declaration ->
+            version = newVersion
+            text = envelope
+            current = declaration
+            effects.add(Effect.StateChanged(StateChange.DeclarationInForce(newVersion)))
+            inForce(declaration, now)
+            true
+        }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -0,0 +1,318 @@
+/*
+ * The way of a request from admission to its final answer: it gets a place at an upstream from the home VM, runs
+ * there, and is sent again only where that is safe.
+ */
+package cicadagauge.dispatch
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.Upstream
+import cicadagauge.identity.Moment
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.RequestId
+import cicadagauge.identity.UpstreamId
+import cicadagauge.identity.VmId
+import cicadagauge.membership.VmDirectory
+import cicadagauge.node.DispatchSettings
+import cicadagauge.node.Effect
+import cicadagauge.node.Effects
+import cicadagauge.node.HomePolicy
+import cicadagauge.node.Timers
+import cicadagauge.outcome.AttemptOutcome
+import cicadagauge.outcome.NotRunCause
+import cicadagauge.outcome.Reason
+import cicadagauge.outcome.Refusal
+import cicadagauge.peer.PeerMessage
+import cicadagauge.peer.PlaceResult
+import cicadagauge.routing.OwnerDirectory
+import kotlin.time.Duration
+
+/** Runs the requests that this VM has accepted, and schedules those whose home it is. */
+internal class Dispatcher(
+    private val vms: VmDirectory,
+    private val owners: OwnerDirectory,
+    private val settings: DispatchSettings,
+    private val timers: Timers,
+    private val effects: Effects,
+) {
+    private val requests = HashMap<RequestId, PendingRequest>()
+    private val waiting = LinkedHashSet<PendingRequest>()
+    private val schedulers = HashMap<PoolName, Scheduler>()
+    private val upstreams = HashMap<UpstreamId, Upstream>()
+    private val homeDuties = HashMap<UpstreamId?, String>()
+    private val retries = RetryBudget(settings)
+    private var sweeping = false
+
+    /** How many requests are accepted and not yet answered. */
+    val pending: Int get() = requests.size
+
+    /** Takes the pools of [declaration] over. */
+    fun configure(declaration: Declaration, now: Moment) {
+        upstreams.clear()
+        declaration.pools.flatMap { it.upstreams }.associateByTo(upstreams) { it.id }
+        schedulers.keys.retainAll(declaration.pools.map { it.name }.toSet())
+        for (pool in declaration.pools) {
+            val scheduler = schedulers.getOrPut(pool.name) { Scheduler(pool, owners, settings, Output(pool.name)) }
+            scheduler.configure(pool, declaration, now)
+        }
+    }
+
+    /** Sends [request], which admission has let through, on its way. */
+    fun accept(request: PendingRequest, now: Moment) {
+        retries.arrived()
+        requests[request.id] = request
+        reserve(request, now)
+    }
+
+    /** Takes the end of an attempt. */
+    fun attemptEnded(id: RequestId, outcome: AttemptOutcome, now: Moment) {
+        val request = requests[id] ?: return
+        val state = request.state as? PendingRequest.State.Running ?: return
+        request.state = PendingRequest.State.Idle
+        release(request, state.home, resultOf(outcome), now - state.since, now)
+        when (outcome) {
+            is AttemptOutcome.Answered, AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= id
+            is AttemptOutcome.NotRun -> notRun(request, outcome, now)
+            is AttemptOutcome.Lost -> lost(request, outcome, now)
+        }
+    }
+
+    /** Forgets request [id], whose caller went away while it waited. */
+    fun callerLeft(id: RequestId, now: Moment) {
+        val request = requests.remove(id) ?: return
+        waiting -= request
+        val state = request.state
+        if (state is PendingRequest.State.Reserving) {
+            release(
+                request,
+                state.home,
+                PlaceResult.Unused,
+                Duration.ZERO,
+                now,
+            )
+        }
+    }
+
+    /** Handles a request for a place at an upstream that this VM is home of. */
+    fun reserveFor(from: VmId, message: PeerMessage.Reserve, now: Moment) {
+        val scheduler = schedulers[message.pool]
+        val reservation = Reservation(
+            entry = from,
+            id = message.id,
+            slot = message.slot,
+            requestClass = message.requestClass,
+            tenant = message.tenant,
+            deadline = now + message.timeLeft,
+        )
+        if (scheduler == null) {
+            Output(message.pool).denied(reservation, NO_POOL, now)
+        } else {
+            scheduler.reserve(reservation, now)
+        }
+        scheduleSweep(now)
+    }
+
+    /** Handles the home's word that a request has a place. */
+    fun reserved(from: VmId, message: PeerMessage.Reserved, now: Moment) {
+        val request = requests[message.id]
+        val state = request?.state
+        val duplicate =
+            state is PendingRequest.State.Running && state.home == from && state.upstream == message.upstream
+        if (duplicate) return
+        if (request == null || state !is PendingRequest.State.Reserving || state.home != from) {
+            return giveBack(from, message, now)
+        }
+        forward(request, from, message.upstream, now)
+    }
+
+    /** Handles the home's word that a request gets no place. */
+    fun denied(from: VmId, message: PeerMessage.Denied, now: Moment) {
+        val request = requests[message.id] ?: return
+        val state = request.state as? PendingRequest.State.Reserving ?: return
+        if (state.home == from) refuse(request, message.refusal, now)
+    }
+
+    /** Handles a place that comes back. */
+    fun released(from: VmId, message: PeerMessage.Release, now: Moment) {
+        schedulers[message.pool]?.release(from, message.id, message.result, message.duration, now)
+    }
+
+    /** Tries again at once what waited for the owners of [pool] to change. */
+    fun ownersChanged(pool: PoolName, now: Moment) {
+        schedulers[pool]?.ownersChanged(now)
+        waiting.filter { it.pool.name == pool && it.state is PendingRequest.State.BackingOff }
+            .forEach { reserve(it, now) }
+    }
+
+    private fun reserve(request: PendingRequest, now: Moment) {
+        val home = homeOf(request)
+        request.state = PendingRequest.State.Reserving(home, now + settings.homeSilence)
+        waiting += request
+        scheduleSweep(now)
+        val message = PeerMessage.Reserve(
+            pool = request.pool.name,
+            id = request.id,
+            slot = request.slot,
+            requestClass = request.route.requestClass,
+            tenant = request.tenant,
+            timeLeft = request.deadline - now,
+        )
+        val vm = vms.vm(home)
+        if (home == vms.self || vm == null) reserveFor(vms.self, message, now) else vms.send(vm, message)
+    }
+
+    private fun homeOf(request: PendingRequest): VmId {
+        if (settings.homes == HomePolicy.Local) return vms.self
+        val owner = request.slot?.let { owners[request.pool.name]?.ownerOf(it) }
+        val duty = if (owner == null) "home/${request.pool.name}" else homeDuties.getOrPut(owner) { "home/$owner" }
+        return vms.ranked(duty).firstOrNull()?.id ?: vms.self
+    }
+
+    private fun forward(request: PendingRequest, home: VmId, upstream: UpstreamId, now: Moment) {
+        val target = upstreams[upstream]
+        if (target == null || now >= request.deadline) {
+            release(request, home, PlaceResult.Unused, Duration.ZERO, now)
+            return backOff(request, NO_UPSTREAM, now)
+        }
+        waiting -= request
+        request.attempts++
+        request.state = PendingRequest.State.Running(home, upstream, now)
+        val version = request.slot?.let { owners[request.pool.name]?.record?.version }
+        effects.add(
+            Effect.Forward(
+                id = request.id,
+                upstream = upstream,
+                address = target.address,
+                connections = request.pool.connections,
+                slot = request.slot,
+                version = version,
+                deadline = request.deadline,
+            ),
+        )
+    }
+
+    private fun notRun(request: PendingRequest, outcome: AttemptOutcome.NotRun, now: Moment) {
+        val refusal = refusalOf(outcome.cause)
+        if (outcome.replayable) backOff(request, refusal, now) else refuse(request, refusal, now)
+    }
+
+    private fun lost(request: PendingRequest, outcome: AttemptOutcome.Lost, now: Moment) {
+        val timedOut = outcome.timedOut || now >= request.deadline
+        if (timedOut) return refuse(request, DEADLINE, now)
+        if (request.route.idempotent && retries.take()) return backOff(request, BROKEN, now)
+        refuse(request, BROKEN, now)
+    }
+
+    /** Waits before the next try; [otherwise] is the answer where there is none. */
+    private fun backOff(request: PendingRequest, otherwise: Refusal, now: Moment) {
+        val exponent = minOf(maxOf(0, request.attempts - 1), MAX_DOUBLINGS)
+        val pause = minOf(settings.backoff * (1 shl exponent), settings.maxBackoff)
+        if (request.attempts >= settings.maxAttempts || now + pause >= request.deadline) {
+            return refuse(request, otherwise, now)
+        }
+        request.state = PendingRequest.State.BackingOff(now + pause)
+        waiting += request
+        scheduleSweep(now)
+    }
+
+    private fun refuse(request: PendingRequest, refusal: Refusal, now: Moment) {
+        requests -= request.id
+        waiting -= request
+        val state = request.state
+        if (state is PendingRequest.State.Reserving) {
+            release(
+                request,
+                state.home,
+                PlaceResult.Unused,
+                Duration.ZERO,
+                now,
+            )
+        }
+        effects.add(Effect.Refuse(request.id, refusal))
+    }
+
+    private fun release(request: PendingRequest, home: VmId, result: PlaceResult, duration: Duration, now: Moment) {
+        val message = PeerMessage.Release(request.pool.name, request.id, result, duration)
+        val vm = vms.vm(home)
+        if (home == vms.self || vm == null) released(vms.self, message, now) else vms.send(vm, message)
+    }
+
+    private fun giveBack(home: VmId, message: PeerMessage.Reserved, now: Moment) {
+        val release = PeerMessage.Release(message.pool, message.id, PlaceResult.Unused, Duration.ZERO)
+        val vm = vms.vm(home)
+        if (home == vms.self || vm == null) released(vms.self, release, now) else vms.send(vm, release)
+    }
+
+    private fun scheduleSweep(now: Moment) {
+        if (sweeping) return
+        sweeping = true
+        timers.at(now + settings.sweep, ::sweep)
+    }
+
+    private fun sweep(now: Moment) {
+        sweeping = false
+        schedulers.values.forEach { it.sweep(now) }
+        for (request in waiting.toList()) {
+            when (val state = request.state) {
+                is PendingRequest.State.Reserving -> check(request, state, now)
+                is PendingRequest.State.BackingOff -> if (now >= state.until) reserve(request, now)
+                else -> Unit
+            }
+        }
+        if (waiting.isNotEmpty() || schedulers.values.any { it.isActive }) scheduleSweep(now)
+    }
+
+    private fun check(request: PendingRequest, state: PendingRequest.State.Reserving, now: Moment) {
+        if (now >= request.deadline) return refuse(request, TOO_LATE, now)
+        if (state.home == vms.self || now < state.answerDue) return
+        if (vms.lastHeard(state.home) <
+            now - settings.homeSilence
+        ) {
+            vms.suspect(state.home, now + settings.homeSuspicion)
+        }
+        reserve(request, now)
+    }
+
+    private fun resultOf(outcome: AttemptOutcome): PlaceResult = when (outcome) {
+        is AttemptOutcome.Answered -> PlaceResult.Served
+        AttemptOutcome.Truncated, is AttemptOutcome.Lost -> PlaceResult.Broken
+        is AttemptOutcome.CallerGone -> PlaceResult.Unused
+        is AttemptOutcome.NotRun -> when (outcome.cause) {
+            NotRunCause.Unreachable -> PlaceResult.Unreachable
+            NotRunCause.Busy -> PlaceResult.Busy
+            NotRunCause.NotOwner, NotRunCause.Draining -> PlaceResult.Refused
+        }
+    }
+
+    private fun refusalOf(cause: NotRunCause): Refusal = when (cause) {
+        NotRunCause.Busy -> BUSY
+        NotRunCause.Unreachable, NotRunCause.NotOwner, NotRunCause.Draining -> OWNER_AWAY
+    }
+
+    private inner class Output(private val pool: PoolName) : SchedulerOutput {
+        override fun reserved(reservation: Reservation, upstream: UpstreamId, now: Moment) {
+            val message = PeerMessage.Reserved(pool, reservation.id, upstream)
+            deliver(reservation.entry, message) { reserved(vms.self, message, now) }
+        }
+
+        override fun denied(reservation: Reservation, refusal: Refusal, now: Moment) {
+            val message = PeerMessage.Denied(pool, reservation.id, refusal)
+            deliver(reservation.entry, message) { denied(vms.self, message, now) }
+        }
+
+        private fun deliver(entry: VmId, message: PeerMessage, locally: () -> Unit) {
+            if (entry == vms.self) return locally()
+            vms.vm(entry)?.let { vms.send(it, message) }
+        }
+    }
+
+    private companion object {
+        const val MAX_DOUBLINGS = 4
+        val NO_POOL = Refusal(Reason.NoUpstream, "the pool is not known here")
+        val NO_UPSTREAM = Refusal(Reason.NoUpstream, "the upstream is not declared any more")
+        val OWNER_AWAY = Refusal(Reason.OwnerUnavailable, "no upstream could take the request in time")
+        val BUSY = Refusal(Reason.Overloaded, "the upstream has no free place")
+        val DEADLINE = Refusal(Reason.DeadlineDuringRun, "the deadline came while the request may have run")
+        val TOO_LATE = Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free")
+        val BROKEN = Refusal(Reason.UpstreamBroke, "the connection broke while the request may have run")
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
@@ -0,0 +1,39 @@
+package cicadagauge.dispatch
+
+import cicadagauge.declaration.Pool
+import cicadagauge.declaration.Route
+import cicadagauge.identity.Moment
+import cicadagauge.identity.RequestId
+import cicadagauge.identity.Slot
+import cicadagauge.identity.TenantName
+import cicadagauge.identity.UpstreamId
+import cicadagauge.identity.VmId
+
+/** One request that an entry VM has accepted and not yet answered. */
+internal class PendingRequest(
+    val id: RequestId,
+    val route: Route,
+    val pool: Pool,
+    val tenant: TenantName,
+    val slot: Slot?,
+    val deadline: Moment,
+) {
+    var state: State = State.Idle
+    var attempts = 0
+    var avoid: UpstreamId? = null
+
+    /** Where the request is on its way. */
+    sealed interface State {
+        /** Between two steps. */
+        data object Idle : State
+
+        /** Waits for [home] to reserve a place; [answerDue] is when its silence counts as loss. */
+        class Reserving(val home: VmId, val answerDue: Moment) : State
+
+        /** Waits until [until] before it asks for a place again. */
+        class BackingOff(val until: Moment) : State
+
+        /** Runs at [upstream] since [since], in a place that [home] gave. */
+        class Running(val home: VmId, val upstream: UpstreamId, val since: Moment) : State
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
@@ -0,0 +1,192 @@
+/*
+ * Decides which request runs next at which upstream of one pool. The VM that is the pool's home runs the only
+ * scheduler that counts; it is soft state, so two homes at once cost efficiency and never an owner's safety.
+ */
+package cicadagauge.dispatch
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.Pool
+import cicadagauge.declaration.RequestClass
+import cicadagauge.identity.Moment
+import cicadagauge.identity.RequestId
+import cicadagauge.identity.Slot
+import cicadagauge.identity.TenantName
+import cicadagauge.identity.UpstreamId
+import cicadagauge.identity.VmId
+import cicadagauge.node.DispatchSettings
+import cicadagauge.outcome.Reason
+import cicadagauge.outcome.Refusal
+import cicadagauge.peer.PlaceResult
+import cicadagauge.routing.OwnerDirectory
+import kotlin.time.Duration
+
+/** A request, of VM [entry], that wants a place at an upstream. */
+internal data class Reservation(
+    val entry: VmId,
+    val id: RequestId,
+    val slot: Slot?,
+    override val requestClass: RequestClass,
+    override val tenant: TenantName,
+    val deadline: Moment,
+) : FairQueue.Item
+
+/** Takes a scheduler's decisions. */
+internal interface SchedulerOutput {
+    /** [reservation] has a place at [upstream]. */
+    fun reserved(reservation: Reservation, upstream: UpstreamId, now: Moment)
+
+    /** [reservation] gets no place. */
+    fun denied(reservation: Reservation, refusal: Refusal, now: Moment)
+}
+
+/** Schedules the requests of [pool]. */
+internal class Scheduler(
+    private var pool: Pool,
+    private val owners: OwnerDirectory,
+    private val settings: DispatchSettings,
+    private val output: SchedulerOutput,
+) {
+    private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
+    private val usable = HashSet<UpstreamId>()
+    private val queues = HashMap<UpstreamId?, FairQueue<Reservation>>()
+    private val running = HashMap<Place, Running>()
+    private val queued = HashSet<Place>()
+    private var turn = 0
+
+    /** Whether any request waits or has a place. */
+    val isActive: Boolean get() = queued.isNotEmpty() || running.isNotEmpty()
+
+    /** Takes the pool's part of [declaration] over. */
+    fun configure(newPool: Pool, declaration: Declaration, now: Moment) {
+        pool = newPool
+        loads.keys.retainAll(newPool.upstreams.map { it.id }.toSet())
+        for (upstream in newPool.upstreams) {
+            loads.getOrPut(upstream.id) {
+                UpstreamLoad(upstream, newPool.concurrency, settings)
+            }.redefine(newPool.concurrency)
+        }
+        usable.clear()
+        newPool.upstreams.filterNot(declaration::isOut).forEach { usable += it.id }
+        ownersChanged(now)
+    }
+
+    /** Queues [reservation], or denies it at once where it can't be served in time. */
+    fun reserve(reservation: Reservation, now: Moment) {
+        val place = Place(reservation.entry, reservation.id)
+        val held = running[place]
+        if (held != null) return output.reserved(reservation, held.upstream, now)
+        if (place in queued) return
+        val target = targetOf(reservation)
+        val queue = queues.getOrPut(target) { FairQueue() }
+        val refusal = whyNot(reservation, target, queue, now)
+        if (refusal != null) return output.denied(reservation, refusal, now)
+        queue.add(reservation)
+        queued += place
+        serve(target, now)
+    }
+
+    /** Takes the place of request [id] back, or removes it from its queue. */
+    fun release(entry: VmId, id: RequestId, result: PlaceResult, duration: Duration, now: Moment) {
+        val place = Place(entry, id)
+        val held = running.remove(place) ?: return withdraw(place)
+        loads[held.upstream]?.giveBack(result, duration, now)
+        serve(if (pool.keyed) held.upstream else null, now)
+    }
+
+    /** Sorts the waiting requests anew, after the pool's owners or upstreams have changed. */
+    fun ownersChanged(now: Moment) {
+        val waiting = queues.values.flatMap { it.drain() }
+        queues.clear()
+        loads.values.forEach { it.retryNow() }
+        waiting.forEach { queues.getOrPut(targetOf(it)) { FairQueue() }.add(it) }
+        queues.keys.toList().forEach { serve(it, now) }
+    }
+
+    /** Denies requests whose time has run out, forgets places of lost VMs and ends pauses. */
+    fun sweep(now: Moment) {
+        for (queue in queues.values) {
+            queue.removeIf { it.deadline <= now }.forEach { deny(it, now) }
+        }
+        val lost = running.filterValues { it.expires <= now }
+        lost.forEach { (place, held) ->
+            running.remove(place)
+            loads[held.upstream]?.giveBack(PlaceResult.Unused, Duration.ZERO, now)
+        }
+        queues.keys.toList().forEach { serve(it, now) }
+    }
+
+    private fun deny(reservation: Reservation, now: Moment) {
+        queued -= Place(reservation.entry, reservation.id)
+        output.denied(reservation, TOO_LATE, now)
+    }
+
+    private fun withdraw(place: Place) {
+        if (!queued.remove(place)) return
+        queues.values.forEach { queue -> queue.removeIf { it.entry == place.entry && it.id == place.id } }
+    }
+
+    private fun targetOf(reservation: Reservation): UpstreamId? {
+        val slot = reservation.slot ?: return null
+        return owners[pool.name]?.ownerOf(slot)
+    }
+
+    private fun serve(target: UpstreamId?, now: Moment) {
+        val queue = queues[target] ?: return
+        while (queue.size > 0) {
+            val load = (if (target == null) pick(now) else loads[target]?.takeIf { it.isFree(now) }) ?: return
+            val reservation = queue.poll() ?: return
+            val place = Place(reservation.entry, reservation.id)
+            queued -= place
+            load.take()
+            running[place] = Running(load.upstream.id, reservation.deadline + settings.homeSuspicion)
+            output.reserved(reservation, load.upstream.id, now)
+        }
+    }
+
+    /** For a pool without keys: a free upstream with the least part of its places taken, in turn among equals. */
+    private fun pick(now: Moment): UpstreamLoad? {
+        if (pool.keyed) return null
+        val free = loads.values.filter { it.upstream.id in usable && it.isFree(now) }
+        if (free.isEmpty()) return null
+        turn++
+        return free.indices.map { free[(it + turn) % free.size] }
+            .minWith(compareBy({ it.isSuspect }, { it.running.toDouble() / it.places }))
+    }
+
+    private fun whyNot(
+        reservation: Reservation,
+        target: UpstreamId?,
+        queue: FairQueue<Reservation>,
+        now: Moment,
+    ): Refusal? {
+        if (!pool.keyed && usable.isEmpty()) return Refusal(Reason.NoUpstream, "the pool has no upstream in service")
+        if (queue.countOf(reservation.tenant) >= settings.queuedPerTenant || queued.size >= settings.queuedPerPool) {
+            return Refusal(Reason.Overloaded, "too many requests wait", expectedWait(target, reservation, queue))
+        }
+        val wait = expectedWait(target, reservation, queue)
+        if (now + wait < reservation.deadline) return null
+        return Refusal(Reason.Overloaded, "the queue is longer than the deadline", wait)
+    }
+
+    private fun expectedWait(target: UpstreamId?, reservation: Reservation, queue: FairQueue<Reservation>): Duration {
+        val serving = if (target ==
+            null
+        ) {
+            loads.values.filter { it.upstream.id in usable }
+        } else {
+            listOfNotNull(loads[target])
+        }
+        val places = serving.sumOf { it.places }
+        if (places == 0) return Duration.ZERO
+        val usual = serving.fold(Duration.ZERO) { sum, load -> sum + load.usual } / serving.size
+        return usual * queue.ahead(reservation.requestClass, reservation.tenant) / places
+    }
+
+    private data class Place(val entry: VmId, val id: RequestId)
+
+    private class Running(val upstream: UpstreamId, val expires: Moment)
+
+    private companion object {
+        val TOO_LATE = Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free")
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/UpstreamLoad.kt
@@ -0,0 +1,98 @@
+package cicadagauge.dispatch
+
+import cicadagauge.declaration.Upstream
+import cicadagauge.identity.Moment
+import cicadagauge.node.DispatchSettings
+import cicadagauge.peer.PlaceResult
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What a home VM knows of one upstream from the attempts it let through: how many run, how many it carries and
+ * how long they take. [ceiling] is the pool's concurrency. An attempt that broke is held against the upstream only
+ * where it has answered nothing since the attempt began; otherwise the connection is to blame.
+ */
+internal class UpstreamLoad(val upstream: Upstream, private var ceiling: Int, private val settings: DispatchSettings) {
+    private var limit = 1.0
+    private var failures = 0
+    private var suspectUntil = Moment.PAST
+    private var lastServed = Moment.PAST
+
+    /** Requests that have a place now. */
+    var running = 0
+        private set
+
+    /** The usual time an attempt takes. */
+    var usual: Duration = INITIAL_TIME
+        private set
+
+    /** Places that the upstream is trusted with now. */
+    val places: Int get() = if (failures > 0) 1 else limit.toInt()
+
+    /** Whether a place is free at [now]; a suspected upstream gets one attempt at a time, after a pause. */
+    fun isFree(now: Moment): Boolean = running < places && now >= suspectUntil
+
+    /** Whether the last attempt failed. */
+    val isSuspect: Boolean get() = failures > 0
+
+    /** When the pause of a suspected upstream ends. */
+    val pauseEnds: Moment get() = suspectUntil
+
+    /** Takes a place. */
+    fun take() {
+        running++
+    }
+
+    /** Gives a place back with its [result]. */
+    fun giveBack(result: PlaceResult, duration: Duration, now: Moment) {
+        running = maxOf(0, running - 1)
+        when (result) {
+            PlaceResult.Served -> served(duration)
+            PlaceResult.Busy -> {
+                limit = maxOf(1.0, limit / 2)
+                pause(now, BUSY_PAUSE)
+            }
+            PlaceResult.Refused -> pause(now, BUSY_PAUSE)
+            PlaceResult.Unreachable -> failed(now)
+            PlaceResult.Broken -> if (lastServed <= now - duration) failed(now)
+            PlaceResult.Unused -> Unit
+        }
+        if (result == PlaceResult.Served) lastServed = now
+    }
+
+    /** Uses [newCeiling] from now on. */
+    fun redefine(newCeiling: Int) {
+        ceiling = newCeiling
+        limit = minOf(limit, newCeiling.toDouble())
+    }
+
+    /** Ends a pause, because the upstream's state has changed. */
+    fun retryNow() {
+        suspectUntil = Moment.PAST
+    }
+
+    private fun served(duration: Duration) {
+        failures = 0
+        usual = usual * (1 - SMOOTHING) + duration * SMOOTHING
+        limit = minOf(ceiling.toDouble(), limit + GROWTH / limit)
+    }
+
+    private fun failed(now: Moment) {
+        failures++
+        limit = 1.0
+        val doubled = settings.backoff * (1 shl minOf(failures - 1, MAX_DOUBLINGS))
+        pause(now, minOf(doubled, settings.maxBackoff))
+    }
+
+    private fun pause(now: Moment, duration: Duration) {
+        suspectUntil = maxOf(suspectUntil, now + duration)
+    }
+
+    private companion object {
+        const val SMOOTHING = 0.1
+        const val GROWTH = 0.25
+        const val MAX_DOUBLINGS = 4
+        val INITIAL_TIME = 5.milliseconds
+        val BUSY_PAUSE = 2.milliseconds
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
@@ -0,0 +1,80 @@
+/*
+ * Spreads declarations and ownership records over the fleet. What is new goes along the edges of a tree over the
+ * sorted VMs, in both directions, so that each VM sends a bounded number of messages wherever the news began.
+ * Anti-entropy behind it repairs what was lost: each VM compares versions with one other VM at a time, in turn.
+ */
+package cicadagauge.dissemination
+
+import cicadagauge.configuration.DeclarationHolder
+import cicadagauge.identity.Moment
+import cicadagauge.identity.VmId
+import cicadagauge.membership.Vm
+import cicadagauge.membership.VmDirectory
+import cicadagauge.node.DisseminationSettings
+import cicadagauge.node.Timers
+import cicadagauge.ownership.OwnershipRecord
+import cicadagauge.peer.PeerMessage
+import cicadagauge.peer.RecordDigest
+import cicadagauge.routing.OwnerDirectory
+
+/** Sends and answers what the VMs tell each other of declarations and records. */
+internal class Disseminator(
+    private val vms: VmDirectory,
+    private val declarations: DeclarationHolder,
+    private val owners: OwnerDirectory,
+    private val settings: DisseminationSettings,
+    private val timers: Timers,
+) {
+    private var turn = 0
+
+    /** Begins anti-entropy. */
+    fun start(now: Moment) {
+        nextPartner()?.let { vms.send(it, PeerMessage.Digest(declarations.version, owners.digest())) }
+        timers.at(now + settings.antiEntropy, ::start)
+    }
+
+    /** Passes the declaration in force on, except to [source], from which it came. */
+    fun spreadDeclaration(source: VmId?) {
+        val update = declarations.update() ?: return
+        neighbours().filter { it.id != source }.forEach { vms.send(it, update) }
+    }
+
+    /** Passes [record] on, except to [source], from which it came. */
+    fun spreadRecord(record: OwnershipRecord, source: VmId?) {
+        neighbours().filter { it.id != source }.forEach { vms.send(it, PeerMessage.RecordUpdate(record)) }
+    }
+
+    /** Sends [from] what it lacks, and this VM's digest where it has something that this VM lacks. */
+    fun compare(from: VmId, digest: PeerMessage.Digest) {
+        val vm = vms.vm(from) ?: return
+        if (digest.declaration < declarations.version) declarations.update()?.let { vms.send(vm, it) }
+        val theirs = digest.records.associateBy { it.pool }
+        val mine = owners.digest().associateBy { it.pool }
+        owners.records()
+            .filter { isNewer(mine.getValue(it.pool), theirs[it.pool]) }
+            .forEach { vms.send(vm, PeerMessage.RecordUpdate(it)) }
+        val lacking = digest.declaration > declarations.version || theirs.values.any { isNewer(it, mine[it.pool]) }
+        if (lacking) vms.send(vm, PeerMessage.Digest(declarations.version, owners.digest()))
+    }
+
+    private fun isNewer(one: RecordDigest, other: RecordDigest?): Boolean =
+        other == null || one.term > other.term || (one.term == other.term && one.version > other.version)
+
+    /** The VMs next to this one in a tree with [DisseminationSettings.fanOut] children per VM. */
+    private fun neighbours(): List<Vm> {
+        val all = vms.all
+        val position = all.indexOfFirst { it.id == vms.self }
+        if (position < 0) return all
+        val children = (position * settings.fanOut + 1..position * settings.fanOut + settings.fanOut)
+        val parent = (position - 1) / settings.fanOut
+        val positions = if (position == 0) children.toList() else children + parent
+        return positions.mapNotNull { all.getOrNull(it) }
+    }
+
+    private fun nextPartner(): Vm? {
+        val peers = vms.peers
+        if (peers.isEmpty()) return null
+        turn++
+        return peers[(turn + vms.self.hashCode().mod(peers.size)) % peers.size]
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
@@ -0,0 +1,83 @@
+/*
+ * The entry VMs, as the platform lists them. The list lags, so a VM that doesn't answer is suspected here for a
+ * while and ranks last; the list alone says that a VM is gone for good.
+ */
+package cicadagauge.membership
+
+import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.Moment
+import cicadagauge.identity.VmId
+import cicadagauge.node.Effect
+import cicadagauge.node.Effects
+import cicadagauge.peer.PeerMessage
+import com.dynatrace.hash4j.hashing.Hashing
+
+/** What one VM knows of all VMs, [self] included. */
+internal class VmDirectory(val self: VmId, val zone: AvailabilityZone, private val effects: Effects) {
+    private var vms: Map<VmId, Vm> = emptyMap()
+    private val suspects = HashMap<VmId, Moment>()
+    private val heard = HashMap<VmId, Moment>()
+    private var rankings = HashMap<String, List<Vm>>()
+
+    /** All listed VMs in the order of their ids. */
+    var all: List<Vm> = emptyList()
+        private set
+
+    /** All listed VMs but this one, in the order of their ids. */
+    var peers: List<Vm> = emptyList()
+        private set
+
+    /** Whether a list was ever received. */
+    fun isListed(): Boolean = vms.isNotEmpty()
+
+    /** Whether the platform lists [vm]. */
+    fun isListed(vm: VmId): Boolean = vm in vms
+
+    /** The VM called [id], or null where it is not listed. */
+    fun vm(id: VmId): Vm? = vms[id]
+
+    /** Takes the platform's list over. */
+    fun update(list: List<Vm>) {
+        vms = list.associateBy { it.id }
+        all = list.sortedBy { it.id }
+        peers = all.filter { it.id != self }
+        suspects.keys.retainAll(vms.keys)
+        heard.keys.retainAll(vms.keys)
+        rankings.clear()
+    }
+
+    /** The VMs in the order in which they are responsible for [duty]: leaving and suspected ones last. */
+    fun ranked(duty: String): List<Vm> = rankings.getOrPut(duty) {
+        val scored = all.map { Ranked(it, it.leaving || it.id in suspects, score(duty, it.id)) }
+        scored.sortedWith(compareBy({ it.last }, { it.score })).map { it.vm }
+    }
+
+    /** Ranks [vm] last until [until], because it doesn't answer. */
+    fun suspect(vm: VmId, until: Moment) {
+        if (vm == self) return
+        if (suspects.put(vm, until) == null) rankings.clear()
+    }
+
+    /** Ends suspicions that have run out at [now]. */
+    fun forgive(now: Moment) {
+        if (suspects.values.removeIf { it <= now }) rankings.clear()
+    }
+
+    /** When [vm] last said something. */
+    fun lastHeard(vm: VmId): Moment = heard[vm] ?: Moment.PAST
+
+    /** Notes that [vm] has said something at [now]. */
+    fun heard(vm: VmId, now: Moment) {
+        if (vm in vms) heard[vm] = now
+        if (suspects.remove(vm) != null) rankings.clear()
+    }
+
+    /** Sends [message] to [vm]. */
+    fun send(vm: Vm, message: PeerMessage) {
+        effects.add(Effect.SendPeer(vm.id, vm.address, message))
+    }
+
+    private fun score(duty: String, vm: VmId): Long = Hashing.xxh3_64().hashCharsToLong("$duty|${vm.value}")
+
+    private class Ranked(val vm: Vm, val last: Boolean, val score: Long)
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -0,0 +1,206 @@
+package cicadagauge.node
+
+import cicadagauge.admission.RequestAdmission
+import cicadagauge.admission.SeatHolder
+import cicadagauge.admission.TenantBudgets
+import cicadagauge.configuration.DeclarationHolder
+import cicadagauge.declaration.Declaration
+import cicadagauge.dispatch.Dispatcher
+import cicadagauge.dissemination.Disseminator
+import cicadagauge.identity.Moment
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.VmId
+import cicadagauge.membership.Vm
+import cicadagauge.membership.VmDirectory
+import cicadagauge.membership.Watchers
+import cicadagauge.ownership.DutyManager
+import cicadagauge.ownership.OwnershipRecord
+import cicadagauge.peer.PeerMessage
+import cicadagauge.routing.OwnerDirectory
+import cicadagauge.store.DeclarationCodec
+import cicadagauge.store.RecordCodec
+import cicadagauge.store.StoreClient
+import cicadagauge.store.StoreEntry
+import cicadagauge.store.StoreKeys
+import cicadagauge.store.StoreListener
+import cicadagauge.store.StoreWatcher
+
+/** The [Node] that composes the parts of the core. It begins its life at [start]. */
+public class DefaultNode(
+    private val settings: NodeSettings,
+    declarationCodec: DeclarationCodec,
+    private val recordCodec: RecordCodec,
+    start: Moment,
+) : Node {
+    private val effects = Effects()
+    private val timers = Timers()
+    private val store = StoreClient(effects)
+    private val vms = VmDirectory(settings.vm, settings.zone, effects)
+    private val watchers = Watchers(vms, settings.dissemination.watchersPerZone)
+    private val owners = OwnerDirectory()
+    private val dispatcher = Dispatcher(vms, owners, settings.dispatch, timers, effects)
+    private val seats = SeatHolder(vms, store, timers)
+    private val budgets = TenantBudgets(vms, seats, settings.budgets, timers, start)
+    private val admission = RequestAdmission(owners, budgets, dispatcher, effects)
+    private val declarations = DeclarationHolder(declarationCodec, effects, ::configure)
+    private val disseminator = Disseminator(vms, declarations, owners, settings.dissemination, timers)
+    private val duties = DutyManager(
+        vms = vms,
+        watchers = watchers,
+        store = store,
+        codec = recordCodec,
+        settings = settings.ownership,
+        timers = timers,
+        effects = effects,
+        publisher = { record, now -> learn(record, source = null, now = now) },
+    )
+    private val watcher = StoreWatcher(store, watchers, settings.dissemination, timers, Listener())
+    private var wakeAt = Moment.FUTURE
+    private var stopping = false
+
+    override fun handle(event: Event, now: Moment): List<Effect> {
+        if (event == Event.Woken) wakeAt = Moment.FUTURE
+        react(event, now)
+        timers.run(now)
+        scheduleWake()
+        return effects.take()
+    }
+
+    override fun status(now: Moment): NodeStatus = NodeStatus(
+        vm = settings.vm,
+        ready = isReady(),
+        declaration = declarations.version,
+        duties = duties.held,
+        pools = owners.records().map(::poolStatus),
+        pendingRequests = dispatcher.pending,
+        storeReachable = store.lastAnswer + settings.ownership.storeOut > now,
+        vms = vms.all.map { it.id },
+    )
+
+    private fun react(event: Event, now: Moment) {
+        when (event) {
+            is Event.RequestArrived -> admission.arrived(event.id, event.head, now)
+            is Event.AttemptEnded -> dispatcher.attemptEnded(event.id, event.outcome, now)
+            is Event.CallerLeft -> dispatcher.callerLeft(event.id, now)
+            is Event.PeerSaid -> peerSaid(event.from, event.message, now)
+            is Event.GrantReported -> duties.reported(event.report, now)
+            is Event.StoreReplied -> store.replied(event.call, event.reply, now)
+            is Event.VmsListed -> listed(event.vms, now)
+            Event.Started -> started(now)
+            Event.StopRequested -> stop(now)
+            is Event.GrantUnanswered, Event.Woken -> Unit
+        }
+    }
+
+    private fun started(now: Moment) {
+        watcher.start(now)
+        disseminator.start(now)
+        budgets.start(now)
+        forgive(now)
+    }
+
+    private fun stop(now: Moment) {
+        stopping = true
+        duties.stop(now)
+    }
+
+    private fun listed(list: List<Vm>, now: Moment) {
+        vms.update(list)
+        duties.considerAll(now)
+    }
+
+    private fun forgive(now: Moment) {
+        vms.forgive(now)
+        timers.at(now + settings.dispatch.homeSuspicion / 2, ::forgive)
+    }
+
+    private fun peerSaid(from: VmId, message: PeerMessage, now: Moment) {
+        vms.heard(from, now)
+        when (message) {
+            is PeerMessage.Reserve -> dispatcher.reserveFor(from, message, now)
+            is PeerMessage.Reserved -> dispatcher.reserved(from, message, now)
+            is PeerMessage.Denied -> dispatcher.denied(from, message, now)
+            is PeerMessage.Release -> dispatcher.released(from, message, now)
+            is PeerMessage.BudgetRequest -> keepBudget(from, message, now)
+            is PeerMessage.BudgetReply -> budgets.replied(from, message, now)
+            is PeerMessage.RecordUpdate -> learn(message.record, from, now)
+            is PeerMessage.DeclarationUpdate -> learnDeclaration(message.text, from, now)
+            is PeerMessage.Digest -> disseminator.compare(from, message)
+            is PeerMessage.Yield -> duties.yieldTo(from, message, now)
+            is PeerMessage.Yielded -> duties.yielded(from, message, now)
+        }
+    }
+
+    private fun keepBudget(from: VmId, message: PeerMessage.BudgetRequest, now: Moment) {
+        val reply = budgets.keep(from, message, now) ?: return
+        vms.vm(from)?.let { vms.send(it, reply) }
+    }
+
+    private fun configure(declaration: Declaration, now: Moment) {
+        admission.configure(declaration)
+        seats.configure(declaration.entryVms, now)
+        budgets.configure(declaration, now)
+        dispatcher.configure(declaration, now)
+        duties.configure(declaration, now)
+    }
+
+    private fun learnDeclaration(text: String, source: VmId?, now: Moment) {
+        if (declarations.offer(text, now)) disseminator.spreadDeclaration(source)
+    }
+
+    private fun learn(record: OwnershipRecord, source: VmId?, now: Moment) {
+        owners.adopt(record) ?: return
+        dispatcher.ownersChanged(record.pool, now)
+        disseminator.spreadRecord(record, source)
+    }
+
+    private fun isReady(): Boolean {
+        val declaration = declarations.current ?: return false
+        return !stopping && declaration.pools.filter { it.keyed }.all { owners[it.name] != null }
+    }
+
+    private fun poolStatus(record: OwnershipRecord): PoolStatus {
+        val counts = owners[record.pool]?.counts().orEmpty()
+        return PoolStatus(
+            pool = record.pool,
+            term = record.term,
+            version = record.version,
+            allocator = record.allocator,
+            members = record.members.mapIndexed { index, member ->
+                MemberStatus(member.upstream, member.share, counts[index])
+            },
+        )
+    }
+
+    private fun scheduleWake() {
+        val next = timers.next ?: return
+        if (next >= wakeAt) return
+        wakeAt = next
+        effects.add(Effect.WakeAt(next))
+    }
+
+    private inner class Listener : StoreListener {
+        override fun snapshot(entries: List<StoreEntry>, now: Moment) {
+            entries.forEach { changed(it, now) }
+            val holders = entries.mapNotNull { entry ->
+                dutyOf(entry)?.let { pool -> entry.value?.let { pool to VmId(it) } }
+            }
+            duties.snapshotRead(holders.toMap(), now)
+        }
+
+        override fun changed(entry: StoreEntry, now: Moment) {
+            val key = entry.key.value
+            val value = entry.value
+            val duty = dutyOf(entry)
+            when {
+                duty != null -> duties.holderChanged(duty, value?.let(::VmId), now)
+                value == null -> Unit
+                entry.key == StoreKeys.DECLARATION -> learnDeclaration(value, null, now)
+                key.startsWith(StoreKeys.RECORDS) -> recordCodec.decode(value).onRight { learn(it, null, now) }
+            }
+        }
+
+        private fun dutyOf(entry: StoreEntry): PoolName? =
+            entry.key.value.takeIf { it.startsWith(StoreKeys.DUTIES) }?.removePrefix(StoreKeys.DUTIES)?.let(::PoolName)
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -0,0 +1,81 @@
+package cicadagauge.node
+
+import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.VmId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What one node is told at its start. */
+public data class NodeSettings(
+    val vm: VmId,
+    val zone: AvailabilityZone,
+    val ownership: OwnershipSettings = OwnershipSettings(),
+    val budgets: BudgetSettings = BudgetSettings(),
+    val dispatch: DispatchSettings = DispatchSettings(),
+    val dissemination: DisseminationSettings = DisseminationSettings(),
+)
+
+/**
+ * Times of the grant protocol. [clockDrift] bounds how much two clocks may differ in speed, as a part of the time
+ * measured. [lease] must outlast [dutyLease] and a takeover, or losing an allocator would interrupt service.
+ */
+public data class OwnershipSettings(
+    val lease: Duration = 1_300.milliseconds,
+    val renewal: Duration = 200.milliseconds,
+    val transition: Duration = 25.milliseconds,
+    val suspicion: Duration = 600.milliseconds,
+    val dutyLease: Duration = 800.milliseconds,
+    val dutyRenewal: Duration = 200.milliseconds,
+    val standbyStagger: Duration = 100.milliseconds,
+    val warmUpStep: Duration = 1.seconds,
+    val pace: Duration = 200.milliseconds,
+    val storeOut: Duration = 1.seconds,
+    val storeRetry: Duration = 50.milliseconds,
+    val clockDrift: Double = 0.01,
+)
+
+/** Times of the tenants' budgets. */
+public data class BudgetSettings(
+    val waiver: Duration = 500.milliseconds,
+    val refresh: Duration = 100.milliseconds,
+    val maxLoan: Duration = 200.milliseconds,
+    val answerWait: Duration = 50.milliseconds,
+    val emptyPause: Duration = 10.milliseconds,
+    val suspicion: Duration = 1.seconds,
+    val maxWaiting: Int = 1_000,
+    val clockDrift: Double = 0.01,
+)
+
+/** How the places of upstreams are shared between VMs. */
+public enum class HomePolicy {
+    /** Each VM counts for itself. */
+    Local,
+
+    /** One VM, chosen by rendezvous hashing, counts for all. */
+    Shared,
+}
+
+/** Limits of scheduling, queueing and retries. */
+public data class DispatchSettings(
+    val homes: HomePolicy = HomePolicy.Shared,
+    val queuedPerPool: Int = 2_000,
+    val queuedPerTenant: Int = 500,
+    val maxAttempts: Int = 8,
+    val retryRatio: Double = 0.1,
+    val retryBurst: Int = 50,
+    val sweep: Duration = 5.milliseconds,
+    val homeSilence: Duration = 60.milliseconds,
+    val homeSuspicion: Duration = 1.seconds,
+    val backoff: Duration = 20.milliseconds,
+    val maxBackoff: Duration = 160.milliseconds,
+)
+
+/** How declarations and records spread over the fleet. */
+public data class DisseminationSettings(
+    val fanOut: Int = 16,
+    val antiEntropy: Duration = 500.milliseconds,
+    val watchersPerZone: Int = 2,
+    val watchWait: Duration = 10.seconds,
+    val watchRetry: Duration = 250.milliseconds,
+)
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
@@ -0,0 +1,244 @@
+/*
+ * Decides the owners of one keyed pool's slots, while this VM holds the pool's duty, and grants them to the
+ * upstreams. Every change has two steps: each upstream gives up what it loses, and only when all have confirmed,
+ * or can no longer hold anything, does each take what it gains. See docs/design/ownership.md.
+ */
+package cicadagauge.ownership
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.Pool
+import cicadagauge.identity.Moment
+import cicadagauge.identity.Term
+import cicadagauge.identity.UpstreamId
+import cicadagauge.identity.VmId
+import cicadagauge.membership.VmDirectory
+import cicadagauge.node.Effect
+import cicadagauge.node.Effects
+import cicadagauge.node.OwnershipSettings
+import cicadagauge.node.StateChange
+import cicadagauge.node.Timers
+import cicadagauge.peer.PeerMessage
+import cicadagauge.routing.OwnerTable
+
+/** What an allocator needs of its surroundings. */
+internal interface AllocatorContext {
+    /** Whether the store's word that this VM holds the duty is current at [now]. */
+    fun isConfirmed(now: Moment): Boolean
+
+    /** Whether the store has not answered for so long that losses are handled without it. */
+    fun isStoreOut(now: Moment): Boolean
+
+    /** Writes [record] ahead; calls [then] once it is known to be stored, or with false once the store is out. */
+    fun write(record: OwnershipRecord, then: (saved: Boolean, now: Moment) -> Unit)
+
+    /** Tells the fleet of [record]. */
+    fun publish(record: OwnershipRecord, now: Moment)
+
+    /** The duty is lost to the holder of a higher term. */
+    fun lost(now: Moment)
+}
+
+/** The allocator of [pool] under [term]. [initial] is the record that its term was written with. */
+internal class PoolAllocator(
+    private var pool: Pool,
+    private var declaration: Declaration,
+    initial: OwnershipRecord,
+    private val vms: VmDirectory,
+    private val settings: OwnershipSettings,
+    private val timers: Timers,
+    private val effects: Effects,
+    private val context: AllocatorContext,
+    start: Moment,
+) {
+    private val holders = LinkedHashMap<UpstreamId, HolderState>()
+    private val planner = MembershipPlanner(settings)
+    private var state = State.Claiming
+    private var table = OwnerTable(initial)
+    private var before = table
+    private var shrinkingSince = start
+    private val claimUntil = start + settings.renewal
+    private var unproven = initial.predecessors
+    private val fresh = initial.predecessors.isEmpty()
+    private val reachable = HashSet<UpstreamId>()
+    private var stopped = false
+
+    /** The term under which this allocator gives orders. */
+    val term: Term = initial.term
+
+    /** The record that is in force or being put into force. */
+    val record: OwnershipRecord get() = table.record
+
+    /** Whether [record] is not in the store yet. */
+    var unsaved = false
+        private set
+
+    private enum class State { Claiming, Writing, Shrinking, Steady }
+
+    init {
+        configure(pool, declaration)
+        if (fresh) holders.values.forEach { it.proveLapse(start) }
+        tick(start)
+    }
+
+    /** Takes a new declaration over. */
+    fun configure(newPool: Pool, newDeclaration: Declaration) {
+        pool = newPool
+        declaration = newDeclaration
+        for (upstream in newPool.upstreams) {
+            val holder = holders.getOrPut(upstream.id) { HolderState(upstream.id, upstream.address, settings) }
+            holder.address = upstream.address
+        }
+    }
+
+    /** Takes an upstream's answer. */
+    fun reported(report: GrantReport, now: Moment) {
+        if (stopped) return
+        if (report.term > term) return stepDown(now)
+        val holder = holders[report.upstream]
+        if (holder == null || report.term < term) return
+        val first = holder.reported(report, fresh, now)
+        noteReachable(holder, true)
+        if (first && state != State.Claiming) assign(holder)
+        advance(now)
+    }
+
+    /** The allocator of a lower term, on [vm], has stopped. */
+    fun predecessorStopped(vm: VmId, now: Moment) {
+        if (vm !in unproven) return
+        unproven = unproven - vm
+        if (unproven.isEmpty()) proveAll(now)
+        advance(now)
+    }
+
+    /** Gives no further order. */
+    fun stop() {
+        stopped = true
+    }
+
+    private fun stepDown(now: Moment) {
+        stop()
+        context.lost(now)
+    }
+
+    private fun proveAll(now: Moment) {
+        val bound = now + settings.lease * (1 + 2 * settings.clockDrift)
+        holders.values.forEach { it.proveLapse(bound) }
+    }
+
+    private fun tick(now: Moment) {
+        if (stopped) return
+        seekProof(now)
+        for (holder in holders.values) {
+            if (holder.isSilent(now) && holder.lastHeard != Moment.PAST) noteReachable(holder, false)
+            effects.add(Effect.SendGrant(holder.address, holder.order(pool.name, term, record.members, now)))
+        }
+        advance(now)
+        timers.at(now + if (state == State.Steady) settings.renewal else settings.transition, ::tick)
+    }
+
+    /** Asks predecessors to confirm that they have stopped; one that is listed no longer has. */
+    private fun seekProof(now: Moment) {
+        for (vm in unproven) {
+            val listed = vms.vm(vm)
+            when {
+                vm == vms.self || (listed == null && vms.isListed()) -> predecessorStopped(vm, now)
+                listed != null -> vms.send(listed, PeerMessage.Yield(pool.name, term))
+            }
+        }
+    }
+
+    private fun advance(now: Moment) {
+        when (state) {
+            State.Claiming -> if (holders.values.all { it.claimed } || now >= claimUntil) reconcile(now)
+            State.Shrinking -> when {
+                holders.values.all { it.isConfirmed || it.hasLapsed(now) } -> grantAll(now)
+                now >= shrinkingSince + settings.suspicion -> replan(now)
+            }
+            State.Steady -> replan(now)
+            State.Writing -> Unit
+        }
+    }
+
+    /** Continues from the newest record that any upstream was given, which may be newer than the stored one. */
+    private fun reconcile(now: Moment) {
+        val newest = holders.values.mapNotNull { it.claimReport }.maxByOrNull { it.step } ?: return
+        val stored = record
+        val ahead = newest.step.version > stored.version && newest.members.isNotEmpty()
+        val version = if (ahead) newest.step.version.next() else stored.version
+        val members = if (ahead) newest.members else stored.members
+        put(stored.copy(version = version, members = members), now)
+    }
+
+    private fun replan(now: Moment) {
+        if (unsaved && context.isConfirmed(now)) return put(record, now)
+        val storeOut = context.isStoreOut(now)
+        if (!storeOut && !context.isConfirmed(now)) return
+        val members = planner.plan(record.members, pool, declaration, holders, lossesOnly = storeOut, now = now)
+        val predecessors = if (holders.values.all {
+                it.claimed || it.hasLapsed(now)
+            }
+        ) {
+            emptySet()
+        } else {
+            record.predecessors
+        }
+        if (members == record.members && predecessors == record.predecessors) return
+        put(record.copy(version = record.version.next(), members = members, predecessors = predecessors), now)
+    }
+
+    /** Writes [next] ahead and then begins to put it into force; during an outage it is written later. */
+    private fun put(next: OwnershipRecord, now: Moment) {
+        if (context.isStoreOut(now)) {
+            unsaved = true
+            return shrink(next, now)
+        }
+        state = State.Writing
+        context.write(next) { saved, moment ->
+            unsaved = !saved
+            if (!stopped) shrink(next, moment)
+        }
+    }
+
+    private fun shrink(next: OwnershipRecord, now: Moment) {
+        before = table
+        table = OwnerTable(next)
+        state = State.Shrinking
+        shrinkingSince = now
+        holders.values.filter { it.claimed }.forEach(::assign)
+        tickNow(now)
+    }
+
+    private fun grantAll(now: Moment) {
+        state = State.Steady
+        val moved = table.movedSince(before)
+        holders.values.filter { it.claimed }.forEach(::assign)
+        effects.add(Effect.StateChanged(StateChange.OwnersChanged(pool.name, record.version, moved)))
+        context.publish(record, now)
+        tickNow(now)
+    }
+
+    /** What [holder] is to hold in the present state. */
+    private fun assign(holder: HolderState) {
+        val derived = table.slotsOf(holder.upstream)
+        val phase = if (state == State.Steady) GrantPhase.Full else GrantPhase.Shrink
+        val slots = if (phase == GrantPhase.Full) derived else holder.slots.intersect(derived)
+        holder.assign(GrantStep(term, record.version, phase), slots)
+    }
+
+    private fun tickNow(now: Moment) {
+        for (holder in holders.values) {
+            effects.add(Effect.SendGrant(holder.address, holder.order(pool.name, term, record.members, now)))
+        }
+        timers.at(now + settings.transition, ::advanceLater)
+    }
+
+    private fun advanceLater(now: Moment) {
+        if (stopped) return
+        advance(now)
+    }
+
+    private fun noteReachable(holder: HolderState, isReachable: Boolean) {
+        val changed = if (isReachable) reachable.add(holder.upstream) else reachable.remove(holder.upstream)
+        if (changed) effects.add(Effect.StateChanged(StateChange.UpstreamReachable(holder.upstream, isReachable)))
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/routing/PathRules.kt
@@ -0,0 +1,23 @@
+package cicadagauge.routing
+
+/** Which paths are taken as they stand. */
+internal object PathRules {
+    /** Whether [path] has no segment that an upstream might resolve or drop. */
+    fun isPlain(path: String): Boolean {
+        if (path.isEmpty() || path[0] != '/') return false
+        var start = 1
+        while (start < path.length) {
+            val end = path.indexOf('/', start).let { if (it < 0) path.length else it }
+            if (isHidden(path, start, end)) return false
+            start = end + 1
+        }
+        return path.length == 1 || path.last() != '/'
+    }
+
+    private fun isHidden(path: String, start: Int, end: Int): Boolean {
+        if (end == start) return true
+        if (path[start] != '.' && path[start] != '%') return false
+        val segment = path.substring(start, end).replace("%2e", ".", ignoreCase = true)
+        return segment == "." || segment == ".."
+    }
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/routing/RouteTable.kt
@@ -0,0 +1,70 @@
+/*
+ * Finds the route of a request. Routes are kept as a tree of path segments, so that a look-up costs a step per
+ * segment, however many routes there are. A literal segment goes before a variable one, a variable before `**`.
+ */
+package cicadagauge.routing
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.Pool
+import cicadagauge.declaration.Route
+
+/** The routes of one declaration, ready for look-up. */
+public class RouteTable(declaration: Declaration) {
+    private val root = Branch()
+
+    init {
+        for (route in declaration.routes) add(route, requireNotNull(declaration.pool(route.pool)))
+    }
+
+    /** The route of a request for [path] with [method]. */
+    public fun match(method: String, path: String): RouteMatch {
+        if (!PathRules.isPlain(path)) return RouteMatch.BadPath
+        val leaf = find(root, path, 1) ?: return RouteMatch.NoRoute
+        val target = leaf.targets[method] ?: return RouteMatch.WrongMethod(leaf.targets.keys)
+        return target
+    }
+
+    private fun find(branch: Branch, path: String, start: Int): Branch? {
+        if (start >= path.length) return branch.takeIf { it.targets.isNotEmpty() } ?: branch.rest
+        val end = path.indexOf('/', start).let { if (it < 0) path.length else it }
+        val literal = branch.literals[path.substring(start, end)]
+        return literal?.let { find(it, path, end + 1) }
+            ?: branch.variable?.let { find(it, path, end + 1) }
+            ?: branch.rest
+    }
+
+    private fun add(route: Route, pool: Pool) {
+        val pattern = requireNotNull(PathPattern.parse(route.path))
+        val end = pattern.segments.fold(root) { branch, segment ->
+            when (segment) {
+                is PathPattern.Segment.Literal -> branch.literals.getOrPut(segment.text) { Branch() }
+                is PathPattern.Segment.Variable -> branch.variable ?: Branch().also { branch.variable = it }
+            }
+        }
+        val leaf = if (pattern.open) end.rest ?: Branch().also { end.rest = it } else end
+        val target = RouteMatch.Found(route, pool, KeyExtractor.of(route, pattern))
+        for (method in route.methods) leaf.targets[method] = target
+    }
+
+    private class Branch {
+        val literals = HashMap<String, Branch>()
+        val targets = HashMap<String, RouteMatch.Found>()
+        var variable: Branch? = null
+        var rest: Branch? = null
+    }
+}
+
+/** What a look-up in a [RouteTable] found. */
+public sealed interface RouteMatch {
+    /** The request belongs to [route]; [extractor], if any, finds its key. */
+    public data class Found(val route: Route, val pool: Pool, val extractor: KeyExtractor?) : RouteMatch
+
+    /** The path is known, but not with this method. */
+    public data class WrongMethod(val allowed: Set<String>) : RouteMatch
+
+    /** No route has this path. */
+    public data object NoRoute : RouteMatch
+
+    /** The path could mean something else to an upstream: it has empty, `.` or `..` segments. */
+    public data object BadPath : RouteMatch
+}
--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreClient.kt
@@ -0,0 +1,38 @@
+package cicadagauge.store
+
+import cicadagauge.identity.Moment
+import cicadagauge.node.Effect
+import cicadagauge.node.Effects
+import cicadagauge.node.StateChange
+
+/** Issues store calls and hands each reply to whoever asked. */
+internal class StoreClient(private val effects: Effects) {
+    private val waiting = HashMap<StoreCallId, (StoreReply, Moment) -> Unit>()
+    private var nextId = 1L
+    private var reachable = true
+
+    /** When the store last answered anything. */
+    var lastAnswer: Moment = Moment.PAST
+        private set
+
+    /** Makes [call] and passes its reply to [then]. */
+    fun call(call: StoreCall, then: (StoreReply, Moment) -> Unit) {
+        val id = StoreCallId(nextId++)
+        waiting[id] = then
+        effects.add(Effect.CallStore(id, call))
+    }
+
+    /** Takes the reply to call [id]; a second reply is ignored. */
+    fun replied(id: StoreCallId, reply: StoreReply, now: Moment) {
+        val then = waiting.remove(id) ?: return
+        note(reply != StoreReply.Unavailable, now)
+        then(reply, now)
+    }
+
+    private fun note(answered: Boolean, now: Moment) {
+        if (answered) lastAnswer = now
+        if (answered == reachable) return
+        reachable = answered
+        effects.add(Effect.StateChanged(StateChange.StoreReachable(answered)))
+    }
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
@@ -0,0 +1,46 @@
+package cicadagauge.gateway
+
+import cicadagauge.identity.Address
+import cicadagauge.node.NodeSettings
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What one gateway process is told at its start. [secret] proves VMs to each other and to upstreams. */
+public data class GatewaySettings(
+    val node: NodeSettings,
+    val callers: Address,
+    val control: Address,
+    val store: Address,
+    val vmList: Address,
+    val secret: String,
+    val limits: CallerLimits = CallerLimits(),
+    val upstreams: UpstreamLimits = UpstreamLimits(),
+    val platform: PlatformTimes = PlatformTimes(),
+)
+
+/** Bounds on what callers may send and hold. Sizes are in bytes. */
+public data class CallerLimits(
+    val connections: Int = 10_000,
+    val requestLine: Int = 8_192,
+    val headers: Int = 16_384,
+    val body: Long = 16_777_216,
+    val replayBuffer: Int = 65_536,
+    val idle: Duration = 60.seconds,
+    val requestProgress: Duration = 10.seconds,
+)
+
+/** Bounds on connections to upstreams. */
+public data class UpstreamLimits(
+    val connect: Duration = 300.milliseconds,
+    val idle: Duration = 30.seconds,
+    val answerProgress: Duration = 10.seconds,
+)
+
+/** Times of calls on the platform and on peers. */
+public data class PlatformTimes(
+    val storeCall: Duration = 400.milliseconds,
+    val vmListPoll: Duration = 500.milliseconds,
+    val grantCall: Duration = 300.milliseconds,
+    val peerCall: Duration = 500.milliseconds,
+)
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -0,0 +1,110 @@
+package cicadagauge.gateway
+
+import cicadagauge.gateway.caller.Exchange
+import cicadagauge.gateway.caller.NettyRequestHead
+import cicadagauge.gateway.metrics.GatewayMetrics
+import cicadagauge.gateway.upstream.UpstreamConnections
+import cicadagauge.identity.RequestId
+import cicadagauge.node.Effect
+import cicadagauge.node.Event
+import cicadagauge.outcome.AttemptOutcome
+import cicadagauge.outcome.Refusal
+
+/** Joins callers' requests, the node that decides about them and the upstreams that run them. */
+internal class RequestRegistry(
+    private val driver: NodeDriver,
+    private val connections: UpstreamConnections,
+    private val metrics: GatewayMetrics,
+) {
+    private val exchanges = HashMap<RequestId, Exchange>()
+    private var lastId = 0L
+
+    /** Whether this process is about to stop, so that connections are closed after their answer. */
+    var draining = false
+
+    /** How many requests are not answered yet. */
+    val open: Int get() = exchanges.size
+
+    /** A number for the next request. */
+    fun nextId(): RequestId = RequestId(++lastId)
+
+    /** Hands a new request to the node. */
+    fun arrived(exchange: Exchange) {
+        exchanges[exchange.id] = exchange
+        driver.submit(Event.RequestArrived(exchange.id, NettyRequestHead(exchange.request)))
+    }
+
+    /** Notes that [exchange] was refused without the node. */
+    fun refused(exchange: Exchange, refusal: Refusal) {
+        exchanges -= exchange.id
+        metrics.refused(refusal.reason)
+    }
+
+    /** Notes that something that is no request was refused. */
+    fun unreadable(refusal: Refusal) {
+        metrics.refused(refusal.reason)
+    }
+
+    /** The caller of [exchange] went away. */
+    fun callerLeft(exchange: Exchange) {
+        if (exchanges.remove(exchange.id) == null) return
+        val attempt = exchange.attempt
+        if (attempt == null) driver.submit(Event.CallerLeft(exchange.id)) else attempt.cancel()
+        exchange.forget()
+    }
+
+    /** Ends the present attempt of [exchange], if any, with [outcome], without an answer. */
+    fun abandon(exchange: Exchange, outcome: AttemptOutcome) {
+        exchanges -= exchange.id
+        val attempt = exchange.attempt
+        if (attempt == null) driver.submit(Event.CallerLeft(exchange.id)) else attempt.end(outcome)
+    }
+
+    /** Carries out the node's wish to send a request to an upstream. */
+    fun forward(effect: Effect.Forward) {
+        val exchange = exchanges[effect.id]
+        if (exchange == null) {
+            driver.submit(Event.AttemptEnded(effect.id, AttemptOutcome.CallerGone(sent = false)))
+            return
+        }
+        connections.send(effect, exchange) { outcome -> ended(exchange, outcome) }
+    }
+
+    /** Carries out the node's refusal. */
+    fun refuse(effect: Effect.Refuse) {
+        val exchange = exchanges.remove(effect.id) ?: return
+        metrics.refused(effect.refusal.reason)
+        took(exchange)
+        exchange.caller.refuse(exchange, effect.refusal)
+    }
+
+    /** Notes whom a request belongs to. */
+    fun attribute(effect: Effect.Attribute) {
+        val exchange = exchanges[effect.id] ?: return
+        exchange.tenant = effect.tenant
+        exchange.requestClass = effect.requestClass
+    }
+
+    private fun ended(exchange: Exchange, outcome: AttemptOutcome) {
+        exchange.attempt = null
+        when (outcome) {
+            is AttemptOutcome.Answered -> {
+                exchanges -= exchange.id
+                metrics.answered(outcome.status)
+                took(exchange)
+                exchange.caller.end(exchange)
+            }
+            AttemptOutcome.Truncated -> {
+                exchanges -= exchange.id
+                metrics.broke()
+                exchange.caller.cut(exchange)
+            }
+            else -> Unit
+        }
+        driver.submit(Event.AttemptEnded(exchange.id, outcome))
+    }
+
+    private fun took(exchange: Exchange) {
+        metrics.took(exchange.tenant, exchange.requestClass, MonotonicClock.now() - exchange.arrivedAt)
+    }
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerCodec.kt
@@ -0,0 +1,40 @@
+package cicadagauge.gateway.caller
+
+import cicadagauge.gateway.CallerLimits
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseEncoder
+
+/** Reads callers' requests and refuses those that two parsers could read in two ways. */
+internal class StrictRequestDecoder(limits: CallerLimits) : HttpRequestDecoder(config(limits)) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
+        throw IllegalArgumentException("both content-length and transfer-encoding")
+
+    private companion object {
+        const val CHUNK_BYTES = 16_384
+
+        fun config(limits: CallerLimits): HttpDecoderConfig = HttpDecoderConfig()
+            .setMaxInitialLineLength(limits.requestLine)
+            .setMaxHeaderSize(limits.headers)
+            .setMaxChunkSize(CHUNK_BYTES)
+            .setAllowDuplicateContentLengths(false)
+            .setStrictLineParsing(true)
+            .setUseRfc9112TransferEncoding(true)
+    }
+}
+
+/** Writes answers; an answer to HEAD has no body, whatever its headers say. */
+internal class AnswerEncoder : HttpResponseEncoder() {
+    private var head = false
+
+    /** The next answer is for [request]. */
+    fun expect(request: HttpRequest) {
+        head = request.method() == HttpMethod.HEAD
+    }
+
+    override fun isContentAlwaysEmpty(answer: HttpResponse): Boolean = head || super.isContentAlwaysEmpty(answer)
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerHandler.kt
@@ -0,0 +1,243 @@
+/*
+ * One caller's connection. Its requests are handled one after the other; what comes early waits. A request that
+ * can't be read is answered and the connection closed, since what follows on it can't be trusted.
+ */
+package cicadagauge.gateway.caller
+
+import cicadagauge.gateway.CallerLimits
+import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.gateway.RequestRegistry
+import cicadagauge.outcome.AttemptOutcome
+import cicadagauge.outcome.Reason
+import cicadagauge.outcome.Refusal
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.timeout.IdleStateEvent
+import io.netty.util.ReferenceCountUtil
+
+/** Reads a caller's requests and writes their answers. */
+internal class CallerHandler(private val registry: RequestRegistry, private val limits: CallerLimits) :
+    ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+    private val early = ArrayDeque<HttpObject>()
+    private var current: Exchange? = null
+    private var discarding = false
+    private var keepAlive = true
+    private var closing = false
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (closing || message !is HttpObject) {
+            ReferenceCountUtil.release(message)
+            return
+        }
+        val exchange = current
+        if (exchange != null && exchange.complete) early.addLast(message) else read(message)
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        context.flush()
+        context.fireChannelReadComplete()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        closing = true
+        early.forEach(ReferenceCountUtil::release)
+        early.clear()
+        val exchange = current ?: return
+        current = null
+        registry.callerLeft(exchange)
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        current?.attempt?.pauseAnswer(!context.channel().isWritable)
+    }
+
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        val exchange = current
+        if (event is IdleStateEvent && (exchange == null || !exchange.complete)) context.close()
+    }
+
+    @Deprecated("Netty's name for it")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+
+    /** Answers [exchange] with [refusal]. */
+    fun refuse(exchange: Exchange, refusal: Refusal) {
+        if (exchange !== current) return
+        val answer = RefusalAnswer.of(refusal)
+        if (!exchange.complete) keepAlive = false
+        begin(answer)
+        write(answer)
+        finish(exchange)
+    }
+
+    /** Passes the head of an upstream's answer on. */
+    fun begin(exchange: Exchange, answer: HttpResponse) {
+        exchange.answering = true
+        if (!exchange.complete) keepAlive = false
+        begin(answer)
+        context.write(answer)
+    }
+
+    /** Passes a part of an upstream's answer on; the last part ends the exchange. */
+    fun write(exchange: Exchange, content: HttpContent) {
+        if (exchange !== current) {
+            content.release()
+            return
+        }
+        context.write(content)
+        exchange.attempt?.pauseAnswer(!context.channel().isWritable)
+    }
+
+    /** Sends what was written so far. */
+    fun flush() {
+        context.flush()
+    }
+
+    /** Ends [exchange], whose whole answer was written. */
+    fun end(exchange: Exchange) {
+        if (exchange !== current) return
+        context.flush()
+        finish(exchange)
+    }
+
+    /** Cuts the connection, because an answer broke off and must not pass as whole. */
+    fun cut(exchange: Exchange) {
+        if (exchange !== current) return
+        current = null
+        exchange.forget()
+        closing = true
+        context.close()
+    }
+
+    /** Lets the connection read or not. */
+    fun pauseBody(pause: Boolean) {
+        context.channel().config().isAutoRead = !pause
+    }
+
+    private fun read(message: HttpObject) {
+        val result = message.decoderResult()
+        if (result.isFailure) {
+            ReferenceCountUtil.release(message)
+            return unreadable(result)
+        }
+        if (message is HttpRequest) head(message)
+        if (message is HttpContent) body(message)
+    }
+
+    private fun head(request: HttpRequest) {
+        keepAlive = HttpUtil.isKeepAlive(request) && !registry.draining
+        val exchange = Exchange(registry.nextId(), request, this, limits)
+        current = exchange
+        discarding = false
+        context.pipeline().get(AnswerEncoder::class.java).expect(request)
+        val problem = problemOf(request)
+        if (problem != null) return refuseAtOnce(exchange, problem)
+        if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(proceed())
+        registry.arrived(exchange)
+    }
+
+    private fun problemOf(request: HttpRequest): Refusal? {
+        val path = request.uri()
+        return when {
+            request.protocolVersion() != HttpVersion.HTTP_1_1 && request.protocolVersion() != HttpVersion.HTTP_1_0 ->
+                Refusal(Reason.BadRequest, "only HTTP/1.1 and HTTP/1.0 are spoken here")
+            request.headers().getAll(
+                HttpHeaderNames.HOST,
+            ).size > 1 -> Refusal(Reason.BadRequest, "more than one host header")
+            !path.startsWith("/") || path.startsWith(ProtocolHeaders.RESERVED_PATH) ->
+                Refusal(Reason.NoRoute, "no route has this path")
+            HttpUtil.getContentLength(request, -1L) > limits.body ->
+                Refusal(Reason.BodyTooLarge, "the body may have ${limits.body} bytes at most")
+            else -> null
+        }
+    }
+
+    private fun refuseAtOnce(exchange: Exchange, refusal: Refusal) {
+        discarding = true
+        registry.refused(exchange, refusal)
+        refuse(exchange, refusal)
+    }
+
+    private fun body(content: HttpContent) {
+        val exchange = current
+        if (exchange == null || discarding) {
+            content.release()
+            return
+        }
+        exchange.add(content)
+        if (exchange.bodyBytes > limits.body) return tooLarge(exchange)
+        if (exchange.shouldPause || exchange.attempt?.isWritable == false) pauseBody(true)
+    }
+
+    private fun tooLarge(exchange: Exchange) {
+        val sent = exchange.attempt != null
+        val reason = if (sent) Reason.BodyTooLargeMidway else Reason.BodyTooLarge
+        val refusal = Refusal(reason, "the body may have ${limits.body} bytes at most")
+        registry.abandon(exchange, AttemptOutcome.CallerGone(sent))
+        refuseAtOnce(exchange, refusal)
+    }
+
+    private fun unreadable(result: DecoderResult) {
+        val cause = result.cause()
+        val refusal = if (cause is TooLongFrameException) {
+            Refusal(Reason.HeaderTooLarge, "the request line or the headers are too long")
+        } else {
+            Refusal(Reason.BadRequest, "the request can't be read as HTTP")
+        }
+        val exchange = current
+        if (exchange != null && (exchange.answering || exchange.attempt != null)) {
+            registry.callerLeft(exchange)
+            return cut(exchange)
+        }
+        if (exchange != null) registry.callerLeft(exchange)
+        registry.unreadable(refusal)
+        closing = true
+        val answer = RefusalAnswer.of(refusal)
+        answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        context.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private fun begin(answer: HttpResponse) {
+        if (registry.draining) keepAlive = false
+        HttpUtil.setKeepAlive(answer, keepAlive)
+    }
+
+    private fun write(answer: HttpResponse) {
+        context.writeAndFlush(answer)
+    }
+
+    private fun finish(exchange: Exchange) {
+        exchange.forget()
+        exchange.attempt = null
+        current = null
+        if (!keepAlive) {
+            closing = true
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+            return
+        }
+        pauseBody(false)
+        while (early.isNotEmpty() && (current == null || current?.complete == false)) read(early.removeFirst())
+    }
+
+    private fun proceed() = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
@@ -0,0 +1,86 @@
+/*
+ * One caller's request and its answer. The body is passed on as it comes, without a copy; a bounded part of it is
+ * kept, by reference, so that a request that did not run can be sent to another upstream.
+ */
+package cicadagauge.gateway.caller
+
+import cicadagauge.declaration.RequestClass
+import cicadagauge.gateway.CallerLimits
+import cicadagauge.gateway.MonotonicClock
+import cicadagauge.gateway.upstream.Attempt
+import cicadagauge.identity.Moment
+import cicadagauge.identity.RequestId
+import cicadagauge.identity.TenantName
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.LastHttpContent
+
+/** The state of one request on the caller's side. */
+internal class Exchange(
+    val id: RequestId,
+    val request: HttpRequest,
+    val caller: CallerHandler,
+    private val limits: CallerLimits,
+) {
+    private val kept = ArrayDeque<HttpContent>()
+    private var keptBytes = 0
+    private var passed = false
+
+    /** When the request's head was read. */
+    val arrivedAt: Moment = MonotonicClock.now()
+
+    var tenant: TenantName? = null
+    var requestClass: RequestClass = RequestClass.Normal
+
+    /** The attempt that runs now, or null. */
+    var attempt: Attempt? = null
+
+    /** Whether a part of the answer has gone to the caller. */
+    var answering = false
+
+    /** Whether the whole request body was read. */
+    var complete = false
+        private set
+
+    /** Whether the whole request, as far as it was read, is still at hand. */
+    var replayable = true
+        private set
+
+    /** The bytes of the body that were read. */
+    var bodyBytes = 0L
+        private set
+
+    /** Takes a part of the body; the exchange owns it from now on. */
+    fun add(content: HttpContent) {
+        val size = content.content().readableBytes()
+        bodyBytes += size
+        if (content is LastHttpContent) complete = true
+        if (replayable && passed && keptBytes + size > limits.replayBuffer) forget()
+        if (replayable) {
+            kept.addLast(content)
+            keptBytes += size
+            attempt?.write(content.retainedDuplicate())
+        } else {
+            attempt?.write(content) ?: content.release()
+        }
+    }
+
+    /** Starts [next] with everything that was read so far. */
+    fun start(next: Attempt) {
+        attempt = next
+        passed = true
+        kept.forEach { next.write(it.retainedDuplicate()) }
+        if (keptBytes > limits.replayBuffer) forget()
+    }
+
+    /** Whether reading should pause, because nobody takes the body yet and enough of it is kept. */
+    val shouldPause: Boolean get() = attempt == null && keptBytes >= limits.replayBuffer
+
+    /** Drops what is kept. */
+    fun forget() {
+        replayable = false
+        kept.forEach { it.release() }
+        kept.clear()
+        keptBytes = 0
+    }
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/RefusalAnswer.kt
@@ -0,0 +1,35 @@
+package cicadagauge.gateway.caller
+
+import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.outcome.Refusal
+import cicadagauge.store.Json
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import kotlin.math.ceil
+import kotlin.time.DurationUnit
+
+/** Spells refusals as HTTP answers: the verdict and the reason stand in headers and in a JSON body. */
+internal object RefusalAnswer {
+    private data class Body(val verdict: String, val reason: String, val detail: String, val retryAfterMillis: Long?)
+
+    /** The answer for [refusal]. */
+    fun of(refusal: Refusal): FullHttpResponse {
+        val reason = refusal.reason
+        val wait = refusal.retryAfter
+        val body = Body(reason.verdict.code, reason.code, refusal.detail, wait?.inWholeMilliseconds)
+        val bytes = Json.mapper.writeValueAsBytes(body)
+        val status = HttpResponseStatus.valueOf(reason.status)
+        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(bytes))
+        val headers = answer.headers()
+        headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        headers.setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.size)
+        headers.set(ProtocolHeaders.VERDICT, reason.verdict.code)
+        headers.set(ProtocolHeaders.REASON, reason.code)
+        if (wait != null) headers.set(HttpHeaderNames.RETRY_AFTER, ceil(wait.toDouble(DurationUnit.SECONDS)).toLong())
+        return answer
+    }
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/ControlHandler.kt
@@ -0,0 +1,68 @@
+package cicadagauge.gateway.control
+
+import cicadagauge.gateway.NodeDriver
+import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.gateway.metrics.GatewayMetrics
+import cicadagauge.identity.VmId
+import cicadagauge.node.Event
+import cicadagauge.node.NodeStatus
+import cicadagauge.peer.PeerMessage
+import cicadagauge.store.Json
+import com.fasterxml.jackson.core.JacksonException
+import com.fasterxml.jackson.core.type.TypeReference
+import java.security.MessageDigest
+
+/** The control port of a VM. Peers prove the deployment's [secret]; health and metrics are open. */
+internal class ControlHandler(
+    private val secret: String,
+    private val driver: NodeDriver,
+    private val status: () -> NodeStatus,
+    private val metrics: GatewayMetrics,
+) : JsonHandler {
+    override fun handle(request: JsonRequest, answer: (JsonAnswer?) -> Unit) {
+        answer(answerTo(request))
+    }
+
+    private fun answerTo(request: JsonRequest): JsonAnswer = when (request.path) {
+        ControlPaths.HEALTH -> JsonAnswer(OK)
+        ControlPaths.READY -> JsonAnswer(if (status().ready) OK else UNAVAILABLE)
+        ControlPaths.METRICS -> JsonAnswer(OK, metrics.text(), "text/plain; version=0.0.4")
+        ControlPaths.STATUS -> if (isProved(
+                request,
+            )
+        ) {
+            JsonAnswer(OK, Json.mapper.writeValueAsBytes(status()))
+        } else {
+            JsonAnswer(FORBIDDEN)
+        }
+        ControlPaths.MESSAGES -> messages(request)
+        else -> JsonAnswer(NOT_FOUND)
+    }
+
+    private fun messages(request: JsonRequest): JsonAnswer {
+        val from = request.header(ProtocolHeaders.VM)
+        if (!isProved(request) || from == null) return JsonAnswer(FORBIDDEN)
+        val messages = try {
+            Json.mapper.readValue(request.body, MESSAGES)
+        } catch (_: JacksonException) {
+            return JsonAnswer(BAD_REQUEST)
+        }
+        messages.forEach { driver.submit(Event.PeerSaid(VmId(from), it)) }
+        return JsonAnswer(NO_CONTENT)
+    }
+
+    private fun isProved(request: JsonRequest): Boolean {
+        val given = request.header(ProtocolHeaders.SECRET) ?: return false
+        return MessageDigest.isEqual(given.toByteArray(), secret.toByteArray())
+    }
+
+    private companion object {
+        val MESSAGES = object : TypeReference<List<PeerMessage>>() {}
+        const val OK = 200
+        const val NO_CONTENT = 204
+        const val BAD_REQUEST = 400
+        const val FORBIDDEN = 403
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpServer.kt
@@ -0,0 +1,115 @@
+/*
+ * A small HTTP server for JSON: the control port of a VM and the stand-ins' ports. Requests are handled one after
+ * the other on each connection, with the whole body at hand.
+ */
+package cicadagauge.gateway.control
+
+import cicadagauge.identity.Address
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.GlobalEventExecutor
+import java.net.InetSocketAddress
+
+/** A request with its whole body. */
+public class JsonRequest(
+    public val method: String,
+    public val path: String,
+    public val body: ByteArray,
+    private val headers: (String) -> String?,
+) {
+    /** The value of header [name], or null. */
+    public fun header(name: String): String? = headers(name)
+}
+
+/** The answer to a [JsonRequest]. */
+public class JsonAnswer(
+    public val status: Int,
+    public val body: ByteArray = ByteArray(0),
+    public val contentType: String = "application/json",
+)
+
+/** Answers requests, at once or later, by calling the function that it is given; null drops the connection. */
+public fun interface JsonHandler {
+    public fun handle(request: JsonRequest, answer: (JsonAnswer?) -> Unit)
+}
+
+/** Serves [handler] on [address] until it is closed. */
+public class JsonHttpServer(
+    private val group: EventLoopGroup,
+    private val address: Address,
+    private val handler: JsonHandler,
+) {
+    private val channels = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private var listener: Channel? = null
+
+    /** The port that is bound; useful where the address left it open. */
+    public val port: Int get() = (listener?.localAddress() as? InetSocketAddress)?.port ?: address.port
+
+    /** Binds the address; throws where that fails. */
+    public fun start(): JsonHttpServer {
+        val bootstrap = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(Initializer())
+        listener = bootstrap.bind(address.host, address.port).sync().channel()
+        return this
+    }
+
+    /** Stops listening and closes every connection. */
+    public fun close() {
+        listener?.close()?.sync()
+        channels.close()
+    }
+
+    private inner class Initializer : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            channels.add(channel)
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_BODY), Requests())
+        }
+    }
+
+    private inner class Requests : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val bytes = ByteArray(request.content().readableBytes()).also { request.content().readBytes(it) }
+            val headers = request.headers()
+            val read = JsonRequest(request.method().name(), request.uri(), bytes) { headers[it] }
+            handler.handle(read) { answer -> context.executor().execute { reply(context, answer) } }
+        }
+
+        private fun reply(context: ChannelHandlerContext, answer: JsonAnswer?) {
+            if (answer == null) {
+                context.close()
+                return
+            }
+            val status = HttpResponseStatus.valueOf(answer.status)
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(answer.body))
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body.size)
+            context.writeAndFlush(response)
+        }
+
+        @Deprecated("Netty's name for it")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private companion object {
+        const val MAX_BODY = 8 * 1_024 * 1_024
+    }
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
@@ -0,0 +1,77 @@
+package cicadagauge.gateway.metrics
+
+import cicadagauge.declaration.RequestClass
+import cicadagauge.identity.TenantName
+import cicadagauge.node.StateChange
+import cicadagauge.outcome.Reason
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** What one gateway counts. Request times are kept per tenant and class. */
+internal class GatewayMetrics(pendingRequests: () -> Int) {
+    private val registry = PrometheusRegistry()
+    private val times = HashMap<Pair<TenantName?, RequestClass>, DistributionDataPoint>()
+
+    private val requestSeconds = Histogram.builder().name("cicadagauge_request_seconds")
+        .help("Time from a request's headers to the end of its answer").labelNames("tenant", "class")
+        .classicOnly().classicUpperBounds(*BUCKETS).register(registry)
+    private val answers = Counter.builder().name("cicadagauge_answers_total")
+        .help("Upstreams' answers passed on whole").labelNames("status").register(registry)
+    private val refusals = Counter.builder().name("cicadagauge_refusals_total")
+        .help("Requests refused").labelNames("reason", "verdict").register(registry)
+    private val broken = Counter.builder().name("cicadagauge_broken_answers_total")
+        .help("Answers that broke off after a part had gone to the caller").register(registry)
+    private val changes = Counter.builder().name("cicadagauge_state_changes_total")
+        .help("Changes of state, by kind").labelNames("kind").register(registry)
+
+    init {
+        GaugeWithCallback.builder().name("cicadagauge_pending_requests").help("Requests accepted and not yet answered")
+            .callback { it.call(pendingRequests().toDouble()) }.register(registry)
+    }
+
+    /** Counts a whole answer. */
+    fun answered(status: Int) {
+        answers.labelValues(status.toString()).inc()
+    }
+
+    /** Counts a refusal. */
+    fun refused(reason: Reason) {
+        refusals.labelValues(reason.code, reason.verdict.code).inc()
+    }
+
+    /** Counts an answer that broke off. */
+    fun broke() {
+        broken.inc()
+    }
+
+    /** Records how long a request took. */
+    fun took(tenant: TenantName?, requestClass: RequestClass, duration: Duration) {
+        val point = times.getOrPut(tenant to requestClass) {
+            requestSeconds.labelValues(tenant?.value ?: "", requestClass.name.lowercase())
+        }
+        point.observe(duration.toDouble(DurationUnit.SECONDS))
+    }
+
+    /** Counts a change of state. */
+    fun changed(change: StateChange) {
+        changes.labelValues(change::class.java.simpleName).inc()
+    }
+
+    /** All metrics in Prometheus's text format. */
+    fun text(): ByteArray {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.builder().build().write(out, registry.scrape())
+        return out.toByteArray()
+    }
+
+    private companion object {
+        val BUCKETS = doubleArrayOf(0.001, 0.002, 0.005, 0.01, 0.017, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+    }
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
@@ -0,0 +1,97 @@
+/*
+ * Connections to upstreams. One connection carries one request at a time and is kept for the next one only if the
+ * answer was whole and the request was sent whole, so a late answer can never reach another request.
+ */
+package cicadagauge.gateway.upstream
+
+import cicadagauge.gateway.UpstreamLimits
+import cicadagauge.gateway.caller.Exchange
+import cicadagauge.identity.Address
+import cicadagauge.node.Effect
+import cicadagauge.outcome.AttemptOutcome
+import cicadagauge.outcome.NotRunCause
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.timeout.IdleStateHandler
+import java.util.concurrent.TimeUnit
+
+/** Sends requests to upstreams, on [loop]. */
+internal class UpstreamConnections(private val loop: EventLoop, private val limits: UpstreamLimits) {
+    private val pools = HashMap<Address, Pool>()
+
+    /** How many connections are open or being opened. */
+    val open: Int get() = pools.values.sumOf { it.open }
+
+    /** Sends the request of [exchange] as [effect] says; [ended] is called once. */
+    fun send(effect: Effect.Forward, exchange: Exchange, ended: (AttemptOutcome) -> Unit) {
+        val pool = pools.getOrPut(effect.address) { Pool(effect.address) }
+        val attempt = UpstreamAttempt(effect, exchange, loop, pool, ended)
+        exchange.start(attempt)
+        val kept = pool.takeIdle()
+        when {
+            kept != null -> attempt.begin(kept)
+            pool.open >= effect.connections -> attempt.end(AttemptOutcome.NotRun(NotRunCause.Busy))
+            else -> pool.connect(attempt)
+        }
+    }
+
+    /** Closes every idle connection. */
+    fun close(): Unit = pools.values.forEach { it.closeIdle() }
+
+    /** The connections to one address. */
+    inner class Pool(private val address: Address) {
+        private val idle = ArrayDeque<Channel>()
+
+        var open = 0
+            private set
+
+        fun takeIdle(): Channel? {
+            while (idle.isNotEmpty()) idle.removeLast().let { if (it.isActive) return it }
+            return null
+        }
+
+        fun keep(channel: Channel): Unit = idle.addLast(channel)
+
+        fun closeIdle() {
+            idle.forEach { it.close() }
+            idle.clear()
+        }
+
+        fun connect(attempt: UpstreamAttempt) {
+            open++
+            val bootstrap = Bootstrap().group(loop).channel(NioSocketChannel::class.java)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connect.inWholeMilliseconds.toInt())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(Initializer())
+            bootstrap.connect(address.host, address.port).addListener { result ->
+                connected(result as ChannelFuture, attempt)
+            }
+        }
+
+        private fun connected(result: ChannelFuture, attempt: UpstreamAttempt) {
+            if (!result.isSuccess) {
+                open--
+                attempt.end(AttemptOutcome.NotRun(NotRunCause.Unreachable))
+                return
+            }
+            result.channel().closeFuture().addListener {
+                open--
+                idle.remove(result.channel())
+            }
+            attempt.begin(result.channel())
+        }
+    }
+
+    private inner class Initializer : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            val idle = IdleStateHandler(0, 0, limits.idle.inWholeSeconds, TimeUnit.SECONDS)
+            channel.pipeline().addLast(HttpClientCodec(), idle, UpstreamHandler(limits))
+        }
+    }
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -0,0 +1,141 @@
+package cicadagauge.gateway.upstream
+
+import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.gateway.UpstreamLimits
+import cicadagauge.outcome.AttemptOutcome
+import cicadagauge.outcome.NotRunCause
+import cicadagauge.outcome.Verdict
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.timeout.IdleStateEvent
+import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+
+/** Reads the answers of one upstream connection and passes them to the attempt that uses it. */
+internal class UpstreamHandler(private val limits: UpstreamLimits) : ChannelInboundHandlerAdapter() {
+    private var status = 0
+    private var notRun: NotRunCause? = null
+    private var progress: ScheduledFuture<*>? = null
+    private var lastRead = 0L
+
+    /** The attempt that waits for an answer, or null. */
+    var attempt: UpstreamAttempt? = null
+
+    /** Whether the last answer was whole and leaves the connection open. */
+    var reusable = false
+        private set
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        val running = attempt
+        if (running == null) {
+            ReferenceCountUtil.release(message)
+            context.close()
+            return
+        }
+        lastRead = System.nanoTime()
+        if ((message as HttpObject).decoderResult().isFailure) {
+            ReferenceCountUtil.release(message)
+            return broken(running)
+        }
+        if (message is HttpResponse) head(context, running, message)
+        if (message is HttpContent) body(running, message)
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        val running = attempt
+        if (running != null && running.exchange.answering) running.exchange.caller.flush()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        progress?.cancel(false)
+        attempt?.let(::broken)
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        attempt?.exchange?.caller?.pauseBody(!context.channel().isWritable)
+    }
+
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is IdleStateEvent && attempt == null) context.close()
+    }
+
+    @Deprecated("Netty's name for it")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+
+    private fun head(context: ChannelHandlerContext, running: UpstreamAttempt, answer: HttpResponse) {
+        if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
+        status = answer.status().code()
+        notRun = causeOf(answer)
+        if (notRun == null && !isFramed(answer, running)) return broken(running)
+        reusable = false
+        keepAlive = HttpUtil.isKeepAlive(answer)
+        if (notRun != null) return
+        val passed = DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status())
+        UpstreamRequest.copyAnswer(answer.headers(), passed.headers())
+        running.exchange.caller.begin(running.exchange, passed)
+        watchProgress(context)
+    }
+
+    private var keepAlive = false
+
+    private fun body(running: UpstreamAttempt, content: HttpContent) {
+        if (status == 0) {
+            content.release()
+            return
+        }
+        val last = content is LastHttpContent
+        val cause = notRun
+        if (cause == null) running.exchange.caller.write(running.exchange, content) else content.release()
+        if (!last) return
+        progress?.cancel(false)
+        reusable = keepAlive
+        val ended = status
+        status = 0
+        if (cause == null) running.end(AttemptOutcome.Answered(ended)) else running.notRun(cause)
+    }
+
+    private fun broken(running: UpstreamAttempt) {
+        status = 0
+        reusable = false
+        running.end(if (running.exchange.answering) AttemptOutcome.Truncated else AttemptOutcome.Lost(timedOut = false))
+    }
+
+    private fun causeOf(answer: HttpResponse): NotRunCause? {
+        if (answer.headers()[ProtocolHeaders.VERDICT] != Verdict.NotRun.code) return null
+        return when (answer.headers()[ProtocolHeaders.REASON]) {
+            "not-owner" -> NotRunCause.NotOwner
+            "draining" -> NotRunCause.Draining
+            else -> NotRunCause.Busy
+        }
+    }
+
+    /** Whether the answer's end can be told from a broken connection. */
+    private fun isFramed(answer: HttpResponse, running: UpstreamAttempt): Boolean {
+        val bodiless = running.exchange.request.method() == HttpMethod.HEAD ||
+            answer.status() == HttpResponseStatus.NO_CONTENT ||
+            answer.status() == HttpResponseStatus.NOT_MODIFIED
+        return bodiless || HttpUtil.isTransferEncodingChunked(answer) || HttpUtil.isContentLengthSet(answer)
+    }
+
+    /** Closes the connection where an answer that has begun makes no progress although the caller reads. */
+    private fun watchProgress(context: ChannelHandlerContext) {
+        val allowed = limits.answerProgress.inWholeNanoseconds
+        progress = context.executor().schedule({
+            val silent = System.nanoTime() - lastRead >= allowed
+            if (attempt != null) if (silent) context.close() else watchProgress(context)
+        }, allowed, TimeUnit.NANOSECONDS)
+    }
+}
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamRequest.kt
@@ -0,0 +1,52 @@
+package cicadagauge.gateway.upstream
+
+import cicadagauge.gateway.MonotonicClock
+import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.node.Effect
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpVersion
+
+/** The head of a request as an upstream sees it: without the tenant's key and without what concerns the hop only. */
+internal object UpstreamRequest {
+    private const val KEY_HEADER = "x-api-key"
+    private val DROPPED = setOf(
+        KEY_HEADER,
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "upgrade",
+        "expect",
+        "host",
+    )
+
+    /** The head to send for [request] as [effect] says. */
+    fun of(request: HttpRequest, effect: Effect.Forward): HttpRequest {
+        val factory = DefaultHttpHeadersFactory.headersFactory().withValidation(false)
+        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), factory)
+        copy(request.headers(), head.headers())
+        head.headers().set(HttpHeaderNames.HOST, effect.address.toString())
+        val left = (effect.deadline - MonotonicClock.now()).inWholeMilliseconds
+        head.headers().set(ProtocolHeaders.DEADLINE, maxOf(1L, left).toString())
+        effect.slot?.let { head.headers().set(ProtocolHeaders.SLOT, it.index.toString()) }
+        effect.version?.let { head.headers().set(ProtocolHeaders.VERSION, it.value.toString()) }
+        return head
+    }
+
+    /** Copies what an answer carries end to end. */
+    fun copyAnswer(from: HttpHeaders, to: HttpHeaders): Unit = copy(from, to)
+
+    private fun copy(from: HttpHeaders, to: HttpHeaders) {
+        val named = from.getAll(HttpHeaderNames.CONNECTION).flatMap { it.lowercase().split(',') }.map { it.trim() }
+        for ((name, value) in from.iteratorAsString()) {
+            val lower = name.lowercase()
+            if (lower !in DROPPED && lower !in named && !lower.startsWith(ProtocolHeaders.PREFIX)) to.add(name, value)
+        }
+    }
+}
--- /dev/null
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/deployment/DeploymentShape.kt
@@ -0,0 +1,157 @@
+/*
+ * The two deployments that the router is built for, by size: availability zones, pools, routes and tenants. They
+ * serve the local run and the benches.
+ */
+package cicadagauge.standins.deployment
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.KeySource
+import cicadagauge.declaration.Pool
+import cicadagauge.declaration.RequestClass
+import cicadagauge.declaration.Route
+import cicadagauge.declaration.Tenant
+import cicadagauge.declaration.Upstream
+import cicadagauge.identity.Address
+import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.KeyHash
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.RouteName
+import cicadagauge.identity.TenantName
+import cicadagauge.identity.UpstreamId
+import java.security.MessageDigest
+import java.util.HexFormat
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** One pool's size. */
+public data class PoolShape(val name: String, val instances: Int, val keyed: Boolean)
+
+/** What callers send to one route; [weight] is its part of the load. */
+public data class Traffic(
+    val route: String,
+    val method: String,
+    val path: String,
+    val pool: String,
+    val requestClass: RequestClass,
+    val idempotent: Boolean,
+    val weight: Int,
+)
+
+/** One deployment. [concurrency] and [connections] hold for each upstream, the delays are one way. */
+public data class DeploymentShape(
+    val zones: List<String>,
+    val pools: List<PoolShape>,
+    val traffic: List<Traffic>,
+    val concurrency: Int,
+    val connections: Int,
+    val zoneDelay: Duration,
+    val callerDelay: Duration,
+    val tenantRates: List<Double>,
+    val entryVms: Int = 9,
+) {
+    /** The tenants' names, the large ones first. */
+    public val tenants: List<String> get() = tenantRates.indices.map { "tenant-${it + 1}" }
+
+    /** The key of [tenant] in tests and local runs. */
+    public fun keyOf(tenant: String): String = "local-key-of-$tenant"
+
+    /** The upstreams of [pool], spread over the zones in turn; [address] says where each is. */
+    public fun upstreams(pool: PoolShape, address: (UpstreamId) -> Address): List<Upstream> = (1..pool.instances).map {
+        val id = UpstreamId("${pool.name}-$it")
+        Upstream(id, address(id), AvailabilityZone(zones[it % zones.size]))
+    }
+
+    /** The declaration of this deployment. */
+    public fun declaration(address: (UpstreamId) -> Address): Declaration = Declaration(
+        zones = zones.map(::AvailabilityZone).toSet(),
+        entryVms = entryVms,
+        pools = pools.map { pool ->
+            Pool(
+                name = PoolName(pool.name),
+                keyed = pool.keyed,
+                concurrency = concurrency,
+                connections = connections,
+                upstreams = upstreams(pool, address),
+            )
+        },
+        routes = traffic.map { route(it) },
+        tenants = tenantRates.mapIndexed { index, rate ->
+            Tenant(
+                TenantName(tenants[index]),
+                rate,
+                burst = rate.toInt(),
+                keyHashes = setOf(hash(keyOf(tenants[index]))),
+            )
+        },
+    )
+
+    private fun route(traffic: Traffic) = Route(
+        name = RouteName(traffic.route),
+        path = traffic.path,
+        methods = setOf(traffic.method),
+        pool = PoolName(traffic.pool),
+        key = if (pools.first { it.name == traffic.pool }.keyed) KeySource.PathSegment("key") else null,
+        requestClass = traffic.requestClass,
+        idempotent = traffic.idempotent,
+    )
+
+    public companion object {
+        private val RATES = listOf(900.0, 600.0, 150.0, 150.0, 100.0, 100.0, 50.0, 50.0)
+
+        /** Lends chess clocks; weighs tail latency most. */
+        public val HOSHIZORA: DeploymentShape = DeploymentShape(
+            zones = listOf("sapporo", "asahikawa", "hakodate"),
+            pools = listOf(
+                PoolShape("catalogue", 15, keyed = true),
+                PoolShape("loans", 7, keyed = true),
+                PoolShape("returns", 6, keyed = true),
+                PoolShape("arbiter", 6, keyed = false),
+            ),
+            traffic = listOf(
+                Traffic(
+                    "catalogue-read",
+                    "GET",
+                    "/catalogue/{key}",
+                    "catalogue",
+                    RequestClass.Normal,
+                    true,
+                    weight = 60,
+                ),
+                Traffic("loan", "POST", "/loans/{key}", "loans", RequestClass.Normal, false, weight = 15),
+                Traffic("return", "POST", "/returns/{key}", "returns", RequestClass.Normal, false, weight = 10),
+                Traffic("arbiter-lookup", "GET", "/arbiter/{key}", "arbiter", RequestClass.Urgent, true, weight = 15),
+            ),
+            concurrency = 2,
+            connections = 100,
+            zoneDelay = 0.5.milliseconds,
+            callerDelay = 1.milliseconds,
+            tenantRates = RATES,
+        )
+
+        /** Builds attendant rotas; weighs the worst-served tenant and wrongful refusals most. */
+        public val ROTALINE: DeploymentShape = DeploymentShape(
+            zones = listOf("victoria", "vancouver", "kelowna"),
+            pools = listOf(
+                PoolShape("rota-view", 13, keyed = true),
+                PoolShape("swap-desk", 8, keyed = true),
+                PoolShape("cover-desk", 6, keyed = true),
+                PoolShape("floor-watch", 6, keyed = false),
+            ),
+            traffic = listOf(
+                Traffic("rota-read", "GET", "/rota/{key}", "rota-view", RequestClass.Normal, true, weight = 60),
+                Traffic("swap", "POST", "/swaps/{key}", "swap-desk", RequestClass.Normal, false, weight = 15),
+                Traffic("cover", "POST", "/covers/{key}", "cover-desk", RequestClass.Normal, false, weight = 10),
+                Traffic("floor-check", "GET", "/floor/{key}", "floor-watch", RequestClass.Urgent, true, weight = 15),
+            ),
+            concurrency = 3,
+            connections = 50,
+            zoneDelay = 1.5.milliseconds,
+            callerDelay = 8.milliseconds,
+            tenantRates = RATES,
+        )
+
+        /** The hash under which [key] is declared. */
+        public fun hash(key: String): KeyHash =
+            KeyHash(HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.toByteArray())))
+    }
+}
--- /dev/null
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreModel.kt
@@ -0,0 +1,120 @@
+/*
+ * The platform's key-value service in small: compare-and-swap, leases and watches. It reads no clock, so that it
+ * serves under sockets and under virtual time alike.
+ */
+package cicadagauge.standins.store
+
+import cicadagauge.identity.Moment
+import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreEntry
+import cicadagauge.store.StoreKey
+import cicadagauge.store.StoreLeaseId
+import cicadagauge.store.StoreReply
+import cicadagauge.store.StoreRevision
+
+/** The content of the store. Not safe for use by several threads. */
+public class StoreModel {
+    private val entries = LinkedHashMap<StoreKey, StoreEntry>()
+    private val attached = HashMap<StoreKey, StoreLeaseId>()
+    private val leases = HashMap<StoreLeaseId, Lease>()
+    private val watches = ArrayList<Watch>()
+    private var revision = 0L
+    private var lastLease = 0L
+
+    /** How many calls were made, a waiting watch counting as one. */
+    public var calls: Long = 0
+        private set
+
+    /** How many of them were writes, lease renewals included. */
+    public var writes: Long = 0
+        private set
+
+    /** Handles [call] at [now]. [reply] is called at once, or later for a watch that waits. */
+    public fun handle(call: StoreCall, now: Moment, reply: (StoreReply) -> Unit) {
+        calls++
+        expire(now)
+        when (call) {
+            is StoreCall.Get -> reply(StoreReply.Found(entry(call.key)))
+            is StoreCall.Put -> reply(put(call))
+            is StoreCall.Delete -> reply(delete(call))
+            is StoreCall.Watch -> watch(call, now, reply)
+            is StoreCall.CreateLease -> reply(createLease(call, now))
+            is StoreCall.RenewLease -> reply(renewLease(call, now))
+        }
+    }
+
+    /** Lets leases lapse and ends watches whose wait has run out at [now]. */
+    public fun expire(now: Moment) {
+        val lapsed = leases.filterValues { it.until <= now }.keys
+        leases -= lapsed
+        attached.filterValues { it in lapsed }.keys.toList().forEach(::remove)
+        watches.filter { it.until <= now }.forEach { answer(it) }
+    }
+
+    /** When [expire] should be called next, or null. */
+    public fun nextExpiry(): Moment? = (leases.values.map { it.until } + watches.map { it.until }).minOrNull()
+
+    private fun entry(key: StoreKey): StoreEntry =
+        entries[key]?.takeIf { it.value != null } ?: StoreEntry(key, null, StoreRevision.ABSENT)
+
+    private fun put(call: StoreCall.Put): StoreReply {
+        writes++
+        val current = entry(call.key)
+        if (current.revision != call.expect) return StoreReply.Conflict(current)
+        val lease = call.lease
+        if (lease != null && lease !in leases) return StoreReply.LeaseLapsed
+        if (lease == null) attached -= call.key else attached[call.key] = lease
+        return StoreReply.Written(change(call.key, call.value))
+    }
+
+    private fun delete(call: StoreCall.Delete): StoreReply {
+        writes++
+        val current = entry(call.key)
+        if (current.revision != call.expect) return StoreReply.Conflict(current)
+        return StoreReply.Written(remove(call.key))
+    }
+
+    private fun remove(key: StoreKey): StoreRevision {
+        attached -= key
+        return change(key, null)
+    }
+
+    private fun change(key: StoreKey, value: String?): StoreRevision {
+        revision++
+        entries[key] = StoreEntry(key, value, StoreRevision(revision))
+        watches.filter { key.value.startsWith(it.call.prefix) }.forEach { answer(it) }
+        return StoreRevision(revision)
+    }
+
+    private fun watch(call: StoreCall.Watch, now: Moment, reply: (StoreReply) -> Unit) {
+        val watch = Watch(call, now + call.wait, reply)
+        watches += watch
+        if (changesFor(call).isNotEmpty() || !call.wait.isPositive()) answer(watch)
+    }
+
+    private fun answer(watch: Watch) {
+        if (watches.remove(watch)) watch.reply(StoreReply.Changes(changesFor(watch.call), StoreRevision(revision)))
+    }
+
+    private fun changesFor(call: StoreCall.Watch): List<StoreEntry> = entries.values.filter {
+        it.key.value.startsWith(call.prefix) && it.revision > call.after
+    }.sortedBy { it.revision }
+
+    private fun createLease(call: StoreCall.CreateLease, now: Moment): StoreReply {
+        writes++
+        val id = StoreLeaseId(++lastLease)
+        leases[id] = Lease(call, now + call.ttl)
+        return StoreReply.LeaseHeld(id)
+    }
+
+    private fun renewLease(call: StoreCall.RenewLease, now: Moment): StoreReply {
+        writes++
+        val lease = leases[call.lease] ?: return StoreReply.LeaseLapsed
+        lease.until = now + lease.call.ttl
+        return StoreReply.LeaseHeld(call.lease)
+    }
+
+    private class Lease(val call: StoreCall.CreateLease, var until: Moment)
+
+    private class Watch(val call: StoreCall.Watch, val until: Moment, val reply: (StoreReply) -> Unit)
+}
--- /dev/null
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreStandin.kt
@@ -0,0 +1,82 @@
+package cicadagauge.standins.store
+
+import cicadagauge.gateway.MonotonicClock
+import cicadagauge.gateway.control.JsonAnswer
+import cicadagauge.gateway.control.JsonHttpServer
+import cicadagauge.gateway.control.JsonRequest
+import cicadagauge.gateway.control.PlatformPaths
+import cicadagauge.identity.Address
+import cicadagauge.store.Json
+import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreReply
+import com.fasterxml.jackson.core.JacksonException
+import io.netty.channel.EventLoopGroup
+import java.util.concurrent.TimeUnit
+
+/** Serves a [StoreModel] over HTTP with JSON. `POST /v1/faults` takes [StoreFaults]. */
+public class StoreStandin(private val group: EventLoopGroup, address: Address) {
+    private val loop = group.next()
+    private val model = StoreModel()
+    private val server = JsonHttpServer(group, address) { request, answer -> loop.execute { handle(request, answer) } }
+    private var faults = StoreFaults()
+
+    /** The port that is bound. */
+    public val port: Int get() = server.port
+
+    /** How many calls were made so far. */
+    public fun calls(): Long = loop.submit<Long> { model.calls }.get()
+
+    /** Binds the address. */
+    public fun start(): StoreStandin {
+        server.start()
+        loop.scheduleAtFixedRate({
+            model.expire(MonotonicClock.now())
+        }, EXPIRY_MILLIS, EXPIRY_MILLIS, TimeUnit.MILLISECONDS)
+        return this
+    }
+
+    /** Puts [newFaults] into effect. */
+    public fun fail(newFaults: StoreFaults): Unit = loop.execute { faults = newFaults }
+
+    /** Stops serving. */
+    public fun close(): Unit = server.close()
+
+    private fun handle(request: JsonRequest, answer: (JsonAnswer?) -> Unit) {
+        try {
+            when (request.path) {
+                PlatformPaths.STORE -> call(Json.mapper.readValue(request.body, StoreCall::class.java), answer)
+                FAULTS_PATH -> {
+                    faults = Json.mapper.readValue(request.body, StoreFaults::class.java)
+                    answer(JsonAnswer(NO_CONTENT))
+                }
+                else -> answer(JsonAnswer(NOT_FOUND))
+            }
+        } catch (_: JacksonException) {
+            answer(JsonAnswer(BAD_REQUEST))
+        }
+    }
+
+    private fun call(call: StoreCall, answer: (JsonAnswer?) -> Unit) {
+        if (faults.out) return answer(null)
+        model.handle(call, MonotonicClock.now()) { reply -> answer(reply, answer) }
+    }
+
+    private fun answer(reply: StoreReply, answer: (JsonAnswer?) -> Unit) {
+        val lost = faults.out || (faults.loseAnswers && reply is StoreReply.Written)
+        val body = if (lost) null else JsonAnswer(OK, WRITER.writeValueAsBytes(reply))
+        if (faults.delayMillis == 0L) return answer(body)
+        loop.schedule({ answer(body) }, faults.delayMillis, TimeUnit.MILLISECONDS)
+    }
+
+    public companion object {
+        /** Where faults are put into effect. */
+        public const val FAULTS_PATH: String = "/v1/faults"
+
+        private const val EXPIRY_MILLIS = 10L
+        private const val OK = 200
+        private const val NO_CONTENT = 204
+        private const val BAD_REQUEST = 400
+        private const val NOT_FOUND = 404
+        private val WRITER = Json.mapper.writerFor(StoreReply::class.java)
+    }
+}
