--- /dev/null
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/upstream/UpstreamStandin.kt
@@ -0,0 +1,182 @@
+package cicadagauge.standins.upstream
+
+import cicadagauge.gateway.MonotonicClock
+import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.gateway.control.JsonAnswer
+import cicadagauge.identity.Address
+import cicadagauge.identity.Incarnation
+import cicadagauge.identity.Slot
+import cicadagauge.outcome.NotRunCause
+import cicadagauge.outcome.Verdict
+import cicadagauge.ownership.GrantOrder
+import cicadagauge.store.Json
+import com.fasterxml.jackson.core.JacksonException
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpVersion
+import java.net.InetSocketAddress
+import java.util.UUID
+import java.util.concurrent.TimeUnit
+
+/**
+ * Serves an [UpstreamModel] over HTTP. It answers every request with what it saw of it, as JSON. Control paths:
+ * grant orders, and `POST /.cicadagauge/drain`, `/resume`, `/cold`.
+ */
+public class UpstreamStandin(
+    private val group: EventLoopGroup,
+    private val address: Address,
+    private val traits: UpstreamTraits,
+    private val secret: String,
+) {
+    private val loop = group.next()
+    private val model = UpstreamModel(traits, Incarnation(UUID.randomUUID().toString()), MonotonicClock.now())
+    private val channels = DefaultChannelGroup(loop)
+    private var listener: Channel? = null
+
+    /** The port that is bound. */
+    public val port: Int get() = (listener?.localAddress() as? InetSocketAddress)?.port ?: address.port
+
+    /** Binds the address. */
+    public fun start(): UpstreamStandin {
+        listener = ServerBootstrap().group(loop).channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(Initializer())
+            .bind(address.host, address.port).sync().channel()
+        return this
+    }
+
+    /** Reads a figure of the model. */
+    public fun <T> read(figure: (UpstreamModel) -> T): T = loop.submit<T> { figure(model) }.get()
+
+    /** Stops at once, as a crash would. */
+    public fun close() {
+        listener?.close()?.sync()
+        channels.close()
+    }
+
+    private inner class Initializer : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            channels.add(channel)
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_BODY), Requests())
+        }
+    }
+
+    private inner class Requests : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            if (request.uri().startsWith(ProtocolHeaders.RESERVED_PATH)) return control(context, request)
+            val slot = request.headers()[ProtocolHeaders.SLOT]?.toIntOrNull()?.let(::Slot)
+            when (val start = model.start(slot, MonotonicClock.now())) {
+                is UpstreamModel.Start.Refused -> context.writeAndFlush(refusal(start.cause))
+                is UpstreamModel.Start.Runs -> run(context, seen(request), start)
+            }
+        }
+
+        private fun run(context: ChannelHandlerContext, seen: Seen, start: UpstreamModel.Start.Runs) {
+            val finish = {
+                val effective = model.finish(start, MonotonicClock.now())
+                context.writeAndFlush(if (effective) answer(OK, seen) else refusal(NotRunCause.NotOwner))
+            }
+            if (!start.duration.isPositive()) {
+                finish()
+                return
+            }
+            loop.schedule(finish, start.duration.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+        }
+
+        private fun control(context: ChannelHandlerContext, request: FullHttpRequest) {
+            if (request.headers()[ProtocolHeaders.SECRET] != secret) {
+                context.writeAndFlush(answer(FORBIDDEN, null))
+                return
+            }
+            val now = MonotonicClock.now()
+            when (request.uri().removePrefix(ProtocolHeaders.RESERVED_PATH)) {
+                "/grant" -> return grant(context, request)
+                "/drain" -> model.drain(true)
+                "/resume" -> model.drain(false)
+                "/cold" -> model.turnCold(now)
+                else -> {
+                    context.writeAndFlush(answer(NOT_FOUND, null))
+                    return
+                }
+            }
+            context.writeAndFlush(answer(OK, null))
+        }
+
+        private fun grant(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val bytes = ByteArray(request.content().readableBytes()).also { request.content().readBytes(it) }
+            val answer = try {
+                val order = Json.mapper.readValue(bytes, GrantOrder::class.java)
+                answer(OK, model.grant(order, MonotonicClock.now()))
+            } catch (_: JacksonException) {
+                answer(BAD_REQUEST, null)
+            }
+            context.writeAndFlush(answer)
+        }
+
+        @Deprecated("Netty's name for it")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private data class Seen(
+        val upstream: String,
+        val method: String,
+        val path: String,
+        val slot: String?,
+        val bodyBytes: Int,
+    )
+
+    private fun seen(request: FullHttpRequest) = Seen(
+        upstream = traits.id.value,
+        method = request.method().name(),
+        path = request.uri(),
+        slot = request.headers()[ProtocolHeaders.SLOT],
+        bodyBytes = request.content().readableBytes(),
+    )
+
+    private fun refusal(cause: NotRunCause): FullHttpResponse = answer(UNAVAILABLE, null).apply {
+        headers().set(ProtocolHeaders.VERDICT, Verdict.NotRun.code)
+        headers().set(ProtocolHeaders.REASON, reason(cause))
+    }
+
+    private fun reason(cause: NotRunCause): String = when (cause) {
+        NotRunCause.NotOwner -> "not-owner"
+        NotRunCause.Draining -> "draining"
+        NotRunCause.Busy, NotRunCause.Unreachable -> "busy"
+    }
+
+    private fun answer(status: Int, body: Any?): FullHttpResponse {
+        val bytes = if (body == null) ByteArray(0) else Json.mapper.writeValueAsBytes(body)
+        val content = Unpooled.wrappedBuffer(bytes)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, JsonAnswer(status).contentType)
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.size)
+        return response
+    }
+
+    private companion object {
+        const val MAX_BODY = 32 * 1_024 * 1_024
+        const val OK = 200
+        const val BAD_REQUEST = 400
+        const val FORBIDDEN = 403
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/vms/VmListStandin.kt
@@ -0,0 +1,58 @@
+package cicadagauge.standins.vms
+
+import cicadagauge.gateway.control.JsonAnswer
+import cicadagauge.gateway.control.JsonHttpServer
+import cicadagauge.gateway.control.JsonRequest
+import cicadagauge.gateway.control.PlatformPaths
+import cicadagauge.identity.Address
+import cicadagauge.membership.Vm
+import cicadagauge.store.Json
+import com.fasterxml.jackson.core.JacksonException
+import com.fasterxml.jackson.core.type.TypeReference
+import io.netty.channel.EventLoopGroup
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** The platform's list of VMs. What is posted to it shows [lag] later. */
+public class VmListStandin(group: EventLoopGroup, address: Address, private val lag: Duration, vms: List<Vm>) {
+    private val loop = group.next()
+    private val server = JsonHttpServer(group, address) { request, answer -> loop.execute { handle(request, answer) } }
+    private var shown = vms
+
+    /** The port that is bound. */
+    public val port: Int get() = server.port
+
+    /** Binds the address. */
+    public fun start(): VmListStandin {
+        server.start()
+        return this
+    }
+
+    /** Lists [vms] from now on, after the lag. */
+    public fun list(vms: List<Vm>) {
+        loop.schedule({ shown = vms }, lag.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    /** Stops serving. */
+    public fun close(): Unit = server.close()
+
+    private fun handle(request: JsonRequest, answer: (JsonAnswer?) -> Unit) {
+        if (request.path != PlatformPaths.VMS) return answer(JsonAnswer(NOT_FOUND))
+        if (request.method == "GET") return answer(JsonAnswer(OK, WRITER.writeValueAsBytes(shown)))
+        try {
+            list(Json.mapper.readValue(request.body, VMS))
+            answer(JsonAnswer(NO_CONTENT))
+        } catch (_: JacksonException) {
+            answer(JsonAnswer(BAD_REQUEST))
+        }
+    }
+
+    private companion object {
+        val VMS = object : TypeReference<List<Vm>>() {}
+        val WRITER = Json.mapper.writerFor(VMS)
+        const val OK = 200
+        const val NO_CONTENT = 204
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+    }
+}
