Add a virtual-time fleet and the ownership failure table

Cause: nothing produced the failures that ownership must survive. Change: a driver under virtual time (VMs with drifting clocks, store, VM list, upstreams, a network that loses, repeats, delays and cuts), an audit that counts owners at the upstreams, and 'bin/bench ownership' with 21 rows. Homes now learn which places are in use, so a lost release no longer holds a place until the deadline.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -62,6 +62,9 @@
     public data class Release(val pool: PoolName, val id: RequestId, val result: PlaceResult, val duration: Duration) :
         PeerMessage
 
+    /** Names all requests of the sender that run in places of [pool] which the receiver gave. */
+    public data class Holding(val pool: PoolName, val ids: Set<RequestId>) : PeerMessage
+
     /** Tells the holder of a lower [term] of [pool] to stop. */
     public data class Yield(val pool: PoolName, val term: Term) : PeerMessage
 
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/Main.kt
@@ -0,0 +1,20 @@
+/*
+ * The program behind `bin/bench`: runs an experiment and prints a JSON line for each result.
+ */
+package cicadagauge.bench
+
+import cicadagauge.bench.ownership.OwnershipExperiment
+import kotlin.system.exitProcess
+
+/** Runs the experiment that [args] name; exits non-zero where a promise broke. */
+fun main(args: Array<String>) {
+    val options = args.drop(1)
+    val held = when (args.firstOrNull()) {
+        "ownership" -> OwnershipExperiment(options).run()
+        else -> {
+            System.err.println("usage: bin/bench ownership [--seeds N] [--first SEED] [--row NAME]")
+            exitProcess(2)
+        }
+    }
+    exitProcess(if (held) 0 else 1)
+}
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/FailureRow.kt
@@ -0,0 +1,166 @@
+/*
+ * The failures that ownership must survive, one row each: what is broken, and when it is mended.
+ */
+package cicadagauge.bench.ownership
+
+import cicadagauge.bench.virtual.NetworkTraits
+import cicadagauge.bench.virtual.VirtualFleet
+import cicadagauge.bench.virtual.VirtualUpstream
+import cicadagauge.bench.virtual.VirtualVm
+import cicadagauge.identity.AvailabilityZone
+import cicadagauge.node.Event
+import cicadagauge.identity.UpstreamId
+import java.util.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** Breaks and mends parts of a fleet. [touched] collects the upstreams whose slots may have to move. */
+class Breakage(val fleet: VirtualFleet, val random: Random) {
+    val touched = HashSet<UpstreamId>()
+
+    /** Any upstream of the keyed pool under test. */
+    fun victim(): VirtualUpstream {
+        val pool = pool()
+        val id = pool.upstreams[random.nextInt(pool.upstreams.size)].id
+        touched += id
+        return fleet.upstreams.getValue(id)
+    }
+
+    /** The VM that allocates the pool under test. */
+    fun allocator(): VirtualVm {
+        val newest = fleet.vms.flatMap { it.status().pools }.filter { it.pool == pool().name }.maxBy { it.term }
+        return fleet.vms.first { it.id == newest.allocator }
+    }
+
+    /** The pool under test. */
+    fun pool() = fleet.declaration.pools.first { it.keyed }
+
+    /** Does [task] after [delay]. */
+    fun later(delay: Duration, task: () -> Unit) = fleet.time.after(delay, task)
+}
+
+/**
+ * One row of the failure table. [length] is how long it is watched, [limit] the longest that a key may go unserved
+ * where the users' promise gives one. [moves] says whether the row may move slots of untouched upstreams.
+ */
+class FailureRow(
+    val name: String,
+    val length: Duration,
+    val limit: Duration? = null,
+    val network: NetworkTraits = NetworkTraits(),
+    val moves: Boolean = false,
+    val act: Breakage.() -> Unit,
+)
+
+/** All rows. */
+object FailureTable {
+    private val LOST = 2.seconds
+    private val ROUGH = NetworkTraits(loss = 0.02, repeat = 0.02, straying = 0.02)
+
+    val rows: List<FailureRow> = listOf(
+        FailureRow("quiet", 30.seconds, limit = 100.milliseconds) {},
+        FailureRow("rough-network", 30.seconds, network = ROUGH) {},
+        FailureRow("upstream-crashed", 20.seconds, limit = LOST) { victim().crash() },
+        FailureRow("upstream-restarted", 30.seconds, limit = LOST) {
+            val victim = victim()
+            victim.crash()
+            later(300.milliseconds) { victim.restart() }
+        },
+        FailureRow("upstream-frozen-and-back", 40.seconds, limit = LOST) {
+            val victim = victim()
+            victim.freeze()
+            later(5.seconds) { victim.thaw() }
+        },
+        FailureRow("upstream-cut-from-allocator", 30.seconds, limit = LOST) {
+            val victim = victim().site
+            val allocator = allocator().site
+            val cut = fleet.network.cut { one, other -> one == victim && other == allocator }
+            later(10.seconds) { cut.heal() }
+        },
+        FailureRow("allocator-crashed", 20.seconds, limit = 100.milliseconds) { fleet.crash(allocator()) },
+        FailureRow("allocator-paused", 30.seconds, limit = 100.milliseconds) {
+            val allocator = allocator()
+            allocator.pause()
+            later(6.seconds) { allocator.resume() }
+        },
+        FailureRow("allocator-cut-from-store", 30.seconds, limit = 100.milliseconds) {
+            val allocator = allocator().site
+            val cut = fleet.network.cut { one, other -> one == allocator && other == fleet.store.site }
+            later(10.seconds) { cut.heal() }
+        },
+        FailureRow("store-out", 3.minutes, limit = 100.milliseconds) {
+            fleet.store.out = true
+            later(2.minutes) { fleet.store.out = false }
+        },
+        FailureRow("store-slow", 60.seconds, limit = 100.milliseconds) {
+            fleet.store.delay = 300.milliseconds
+            later(30.seconds) { fleet.store.delay = Duration.ZERO }
+        },
+        FailureRow("store-loses-answers", 30.seconds, limit = LOST) {
+            fleet.store.losesAnswers = true
+            victim().crash()
+            later(15.seconds) { fleet.store.losesAnswers = false }
+        },
+        FailureRow("store-out-and-upstream-crashed", 60.seconds, limit = LOST) {
+            fleet.store.out = true
+            later(5.seconds) { victim().crash() }
+            later(30.seconds) { fleet.store.out = false }
+        },
+        FailureRow("allocator-and-upstream-crashed", 30.seconds) {
+            fleet.crash(allocator())
+            victim().crash()
+        },
+        FailureRow("allocator-crashed-and-store-out", 60.seconds) {
+            fleet.store.out = true
+            fleet.crash(allocator())
+            later(30.seconds) { fleet.store.out = false }
+        },
+        FailureRow("two-upstreams-crashed", 20.seconds, limit = LOST) {
+            victim().crash()
+            victim().crash()
+        },
+        FailureRow("fleet-split", 30.seconds) {
+            val side = fleet.vms.take(fleet.vms.size / 2).map { it.site }.toSet()
+            val vms = fleet.vms.map { it.site }.toSet()
+            val cut = fleet.network.cut { one, other -> one in side && other in vms && other !in side }
+            later(10.seconds) { cut.heal() }
+        },
+        FailureRow("rolling-replacement", 60.seconds, limit = 100.milliseconds) {
+            fleet.vms.toList().forEachIndexed { index, vm -> later(4.seconds * index) { replace(vm) } }
+        },
+        FailureRow("all-vms-lost", 40.seconds, moves = false) {
+            fleet.vms.toList().forEach { fleet.crash(it) }
+            later(2.seconds) {
+                repeat(fleet.traits.vms) { fleet.addVm() }
+                fleet.list()
+            }
+        },
+        FailureRow("zone-out-and-back", 40.seconds, limit = 100.milliseconds) {
+            val zone = AvailabilityZone(fleet.traits.shape.zones.first())
+            pool().upstreams.filter { it.zone == zone }.forEach { touched += it.id }
+            fleet.apply(fleet.declaration.copy(zonesOut = setOf(zone)), version = 2)
+            later(15.seconds) { fleet.apply(fleet.declaration, version = 3) }
+        },
+        FailureRow("zone-lost", 40.seconds) {
+            val zone = fleet.traits.shape.zones.first()
+            fleet.vms.filter { it.zone.value == zone }.forEach { fleet.crash(it) }
+            pool().upstreams.filter { it.zone.value == zone }.forEach {
+                touched += it.id
+                fleet.upstreams.getValue(it.id).crash()
+            }
+        },
+    )
+
+    /** A planned replacement: the VM hands over, goes, and another comes. */
+    private fun Breakage.replace(vm: VirtualVm) {
+        vm.leaving = true
+        vm.submit(Event.StopRequested)
+        later(1.seconds) {
+            fleet.crash(vm)
+            fleet.addVm()
+            fleet.list()
+        }
+    }
+}
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/OwnershipAudit.kt
@@ -0,0 +1,36 @@
+package cicadagauge.bench.ownership
+
+import cicadagauge.bench.virtual.FleetObserver
+import cicadagauge.bench.virtual.VirtualFleet
+import cicadagauge.bench.virtual.VirtualUpstream
+import cicadagauge.declaration.Pool
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.Slot
+import cicadagauge.identity.UpstreamId
+import cicadagauge.node.Effect
+import cicadagauge.ownership.GrantReport
+
+/** Counts owners where they count: at the upstreams. */
+class OwnershipAudit : FleetObserver {
+    /** The most upstreams that could run requests for one slot at one moment. */
+    var maxOwners = 0
+        private set
+
+    override fun granted(fleet: VirtualFleet, report: GrantReport) {
+        if (report.leaseValid) report.slots.toList().forEach { count(fleet, report.pool, it) }
+    }
+
+    override fun began(fleet: VirtualFleet, upstream: VirtualUpstream, request: Effect.Forward) {
+        request.slot?.let { count(fleet, upstream.pool, it) }
+    }
+
+    /** The owner of each slot of [pool] now; null where nobody owns it. */
+    fun owners(fleet: VirtualFleet, pool: Pool): List<UpstreamId?> = (0 until pool.slots).map { index ->
+        pool.upstreams.firstOrNull { fleet.upstreams.getValue(it.id).owns(Slot(index)) }?.id
+    }
+
+    private fun count(fleet: VirtualFleet, pool: PoolName, slot: Slot) {
+        val owners = fleet.upstreams.values.count { it.pool == pool && it.owns(slot) }
+        maxOwners = maxOf(maxOwners, owners)
+    }
+}
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/Prober.kt
@@ -0,0 +1,84 @@
+package cicadagauge.bench.ownership
+
+import cicadagauge.bench.virtual.RequestResult
+import cicadagauge.bench.virtual.VirtualFleet
+import cicadagauge.bench.virtual.VirtualVm
+import cicadagauge.node.RequestHead
+import cicadagauge.outcome.Reason
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** The head of a request made by hand. */
+data class FakeHead(
+    override val method: String,
+    override val path: String,
+    val key: String? = null,
+    override val deadline: Duration? = null,
+    override val query: String? = null,
+) : RequestHead {
+    override fun header(name: String): String? = key.takeIf { name == "x-api-key" }
+}
+
+/** Asks for each of [keys] keys again and again, through the VMs in turn, and notes how long none was answered. */
+class Prober(private val fleet: VirtualFleet, private val route: String, private val keys: Int) {
+    private val every = 40.milliseconds
+    private val lastAnswer = LongArray(keys)
+    private val gaps = LongArray(keys)
+    private var since = Long.MAX_VALUE
+    private var turn = 0
+
+    /** Why requests were refused, with how often. */
+    val refusals = sortedMapOf<Reason, Int>()
+
+    /** Requests answered. */
+    var answered = 0L
+        private set
+
+    /** Begins to ask. */
+    fun start() {
+        for (key in 0 until keys) fleet.time.after(every * key / keys) { ask(key) }
+    }
+
+    /** Counts gaps from now on. */
+    fun watch() {
+        since = fleet.time.now
+        lastAnswer.fill(since)
+        gaps.fill(0)
+        refusals.clear()
+        answered = 0
+    }
+
+    /** The longest time that any key went without an answer since [watch], beyond the time between two requests. */
+    fun longestGap(): Duration {
+        val open = lastAnswer.map { fleet.time.now - it }
+        val longest = gaps.zip(open) { gap, last -> maxOf(gap, last) }.max()
+        return maxOf(Duration.ZERO, longest.nanoseconds - every * 2)
+    }
+
+    private fun ask(key: Int) {
+        fleet.time.after(every) { ask(key) }
+        val vm = nextVm() ?: return
+        val tenant = fleet.traits.shape.tenants.first()
+        val head = FakeHead("GET", "$route/key-$key", fleet.traits.shape.keyOf(tenant))
+        fleet.request(vm, head) { result -> done(key, result) }
+    }
+
+    private fun done(key: Int, result: RequestResult) {
+        when (result) {
+            RequestResult.Answered -> {
+                answered++
+                if (since == Long.MAX_VALUE) return
+                gaps[key] = maxOf(gaps[key], fleet.time.now - lastAnswer[key])
+                lastAnswer[key] = fleet.time.now
+            }
+            is RequestResult.Refused -> refusals.merge(result.refusal.reason, 1, Int::plus)
+        }
+    }
+
+    /** The platform's balancer sends to VMs that answer its checks. */
+    private fun nextVm(): VirtualVm? {
+        val usable = fleet.vms.filter { it.isReady() && !it.leaving }
+        return if (usable.isEmpty()) null else usable[turn++ % usable.size]
+    }
+}
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -0,0 +1,223 @@
+/*
+ * A deployment under virtual time: entry VMs, store, VM list and upstreams, joined by a network that can lose, delay,
+ * repeat and cut. Everything random comes from one seed, so a run can be repeated exactly.
+ */
+package cicadagauge.bench.virtual
+
+import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.DeclarationWriter
+import cicadagauge.identity.Address
+import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.Moment
+import cicadagauge.identity.OperationId
+import cicadagauge.identity.RequestId
+import cicadagauge.identity.UpstreamId
+import cicadagauge.identity.VmId
+import cicadagauge.node.Effect
+import cicadagauge.node.Event
+import cicadagauge.node.NodeSettings
+import cicadagauge.node.RequestHead
+import cicadagauge.node.StateChange
+import cicadagauge.outcome.AttemptOutcome
+import cicadagauge.outcome.NotRunCause
+import cicadagauge.outcome.Refusal
+import cicadagauge.ownership.GrantReport
+import cicadagauge.standins.deployment.DeploymentShape
+import cicadagauge.standins.upstream.UpstreamTraits
+import cicadagauge.store.JsonDeclarationCodec
+import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreKeys
+import cicadagauge.store.StoreReply
+import cicadagauge.store.StoreRevision
+import cicadagauge.store.StoredDeclaration
+import java.util.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How a fleet is made. [drift] bounds each clock's deviation, as a part of the time that passes. */
+data class FleetTraits(
+    val shape: DeploymentShape,
+    val vms: Int = 9,
+    val seed: Long = 1,
+    val drift: Double = 0.005,
+    val service: Duration = 5.milliseconds,
+    val coldTime: Duration = 3.seconds,
+    val vmListPoll: Duration = 500.milliseconds,
+    val vmListLag: Duration = 3.seconds,
+    val network: NetworkTraits = NetworkTraits(),
+    val node: (VmId, AvailabilityZone) -> NodeSettings = { vm, zone -> NodeSettings(vm, zone) },
+)
+
+/** What became of one request. */
+sealed interface RequestResult {
+    /** An upstream answered it. */
+    data object Answered : RequestResult
+
+    /** It was refused. */
+    data class Refused(val refusal: Refusal) : RequestResult
+}
+
+/** Learns what the fleet does. */
+interface FleetObserver {
+    /** A grant order was handled by an upstream, which gave [report]. */
+    fun granted(fleet: VirtualFleet, report: GrantReport) = Unit
+
+    /** A request begins to run at [upstream]. */
+    fun began(fleet: VirtualFleet, upstream: VirtualUpstream, request: Effect.Forward) = Unit
+
+    /** A node reports a change of its state. */
+    fun changed(fleet: VirtualFleet, vm: VirtualVm, change: StateChange) = Unit
+}
+
+/** A running deployment of [traits]. */
+class VirtualFleet(val traits: FleetTraits, private val observer: FleetObserver = object : FleetObserver {}) {
+    private val random = Random(traits.seed)
+    private val waiting = HashMap<Pair<VmId, RequestId>, (RequestResult) -> Unit>()
+    private var lastRequest = 0L
+    private var lastVm = 0
+    private val shown = ArrayDeque<ShownList>()
+
+    val time = VirtualTime()
+    val network = VirtualNetwork(time, random, traits.network)
+    val store = VirtualStore(time, network)
+    val declaration: Declaration = traits.shape.declaration { Address(it.value, 1) }
+    val upstreams: Map<UpstreamId, VirtualUpstream> = declaration.pools.flatMap { pool ->
+        pool.upstreams.map { upstream ->
+            val upstreamTraits = UpstreamTraits(
+                id = upstream.id,
+                pool = pool.name,
+                keyed = pool.keyed,
+                concurrency = pool.concurrency,
+                service = traits.service,
+                coldTime = traits.coldTime,
+            )
+            upstream.id to VirtualUpstream(upstream, upstreamTraits, time, newClock())
+        }
+    }.toMap()
+
+    /** The VMs that run. */
+    val vms = ArrayList<VirtualVm>()
+
+    private class ShownList(val at: Long, val vms: List<VirtualVm>)
+
+    /** Stores the declaration and starts every VM. */
+    fun start(): VirtualFleet {
+        apply(declaration, version = 1)
+        repeat(traits.vms) { addVm() }
+        list()
+        return this
+    }
+
+    /** Stores [next] as [version], as the operator's command does. */
+    fun apply(next: Declaration, version: Long) {
+        val stored = StoredDeclaration(DeclarationVersion(version), OperationId("op-$version"), DeclarationWriter.write(next))
+        var revision = StoreRevision.ABSENT
+        val now = Moment(time.now)
+        store.model.handle(StoreCall.Get(StoreKeys.DECLARATION), now) { revision = (it as StoreReply.Found).entry.revision }
+        store.model.handle(StoreCall.Put(StoreKeys.DECLARATION, JsonDeclarationCodec().seal(stored), revision), now) {}
+    }
+
+    /** Starts one more VM, in the zones in turn, and lists it. */
+    fun addVm(): VirtualVm {
+        val zones = traits.shape.zones
+        val number = ++lastVm
+        val settings = traits.node(VmId("vm-%03d".format(number)), AvailabilityZone(zones[number % zones.size]))
+        val vm = VirtualVm(settings, time, newClock(), ::carryOut)
+        vms += vm
+        vm.submit(Event.Started)
+        poll(vm)
+        return vm
+    }
+
+    /** Ends [vm] as a crash does; the list shows it until its lag has passed. */
+    fun crash(vm: VirtualVm) {
+        vm.crash()
+        vms -= vm
+        list()
+    }
+
+    /** Lists the VMs that run, after the list's lag. */
+    fun list() {
+        val at = time.now + if (shown.isEmpty()) 0L else traits.vmListLag.inWholeNanoseconds
+        shown.addLast(ShownList(at, vms.toList()))
+    }
+
+    /** Sends a request to [vm]; [done] is called at most once. */
+    fun request(vm: VirtualVm, head: RequestHead, done: (RequestResult) -> Unit) {
+        val id = RequestId(++lastRequest)
+        waiting[vm.id to id] = done
+        vm.submit(Event.RequestArrived(id, head))
+    }
+
+    private fun newClock() = VirtualClock(
+        time = time,
+        offset = 1 + random.nextInt(1_000_000_000).toLong() * 100,
+        drift = (random.nextDouble() * 2 - 1) * traits.drift,
+    )
+
+    private fun poll(vm: VirtualVm) {
+        if (vm.crashed) return
+        while (shown.size > 1 && shown[1].at <= time.now) shown.removeFirst()
+        shown.firstOrNull()?.let { list -> vm.submit(Event.VmsListed(list.vms.map { it.listed })) }
+        time.after(traits.vmListPoll) { poll(vm) }
+    }
+
+    private fun carryOut(vm: VirtualVm, effect: Effect) {
+        when (effect) {
+            is Effect.CallStore -> store.call(vm.site, effect.call) { vm.submit(Event.StoreReplied(effect.id, it)) }
+            is Effect.SendPeer -> sendPeer(vm, effect)
+            is Effect.SendGrant -> sendGrant(vm, effect)
+            is Effect.Forward -> forward(vm, effect)
+            is Effect.Refuse -> waiting.remove(vm.id to effect.id)?.invoke(RequestResult.Refused(effect.refusal))
+            is Effect.StateChanged -> observer.changed(this, vm, effect.change)
+            is Effect.Attribute, is Effect.WakeAt, Effect.DutiesHandedOver -> Unit
+        }
+    }
+
+    private fun sendPeer(vm: VirtualVm, effect: Effect.SendPeer) {
+        val peer = vms.firstOrNull { it.id == effect.to } ?: return
+        network.send(vm.site, peer.site) { peer.submit(Event.PeerSaid(vm.id, effect.message)) }
+    }
+
+    private fun sendGrant(vm: VirtualVm, effect: Effect.SendGrant) {
+        val upstream = upstreams.getValue(effect.order.upstream)
+        network.send(vm.site, upstream.site) {
+            upstream.grant(effect.order) { report ->
+                observer.granted(this, report)
+                network.send(upstream.site, vm.site) { vm.submit(Event.GrantReported(report)) }
+            }
+        }
+    }
+
+    private fun forward(vm: VirtualVm, effect: Effect.Forward) {
+        val upstream = upstreams.getValue(effect.upstream)
+        var done = false
+        val end = { outcome: AttemptOutcome -> if (!done) { done = true; ended(vm, effect, outcome) } }
+        val left = maxOf(0L, vm.timeUntil(effect.deadline))
+        time.at(time.now + left) { end(AttemptOutcome.Lost(timedOut = true)) }
+        if (upstream.crashed) {
+            time.after(network.delay(vm.site, upstream.site) * 2) { end(AttemptOutcome.NotRun(NotRunCause.Unreachable)) }
+            return
+        }
+        network.send(vm.site, upstream.site) {
+            upstream.run(effect.slot, { observer.began(this, upstream, effect) }) { result -> answer(vm, upstream, result, end) }
+        }
+        upstream.onCrash { end(AttemptOutcome.Lost(timedOut = false)) }
+    }
+
+    private fun answer(vm: VirtualVm, upstream: VirtualUpstream, result: RunResult, end: (AttemptOutcome) -> Unit) {
+        network.send(upstream.site, vm.site) {
+            when (result) {
+                RunResult.Ran -> end(AttemptOutcome.Answered(status = 200))
+                is RunResult.NotRun -> end(AttemptOutcome.NotRun(result.cause))
+            }
+        }
+    }
+
+    private fun ended(vm: VirtualVm, effect: Effect.Forward, outcome: AttemptOutcome) {
+        if (outcome is AttemptOutcome.Answered) waiting.remove(vm.id to effect.id)?.invoke(RequestResult.Answered)
+        vm.submit(Event.AttemptEnded(effect.id, outcome))
+    }
+}
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualStore.kt
@@ -0,0 +1,64 @@
+package cicadagauge.bench.virtual
+
+import cicadagauge.identity.Moment
+import cicadagauge.standins.store.StoreModel
+import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreReply
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The platform store under virtual time. A call that gets no answer is reported as such after [patience]. */
+class VirtualStore(private val time: VirtualTime, private val network: VirtualNetwork) {
+    private val patience = 400.milliseconds
+    private var expiryAt = Long.MAX_VALUE
+
+    /** Where the store is on the network. */
+    val site = Site("store", "store")
+
+    /** What the store holds. */
+    val model = StoreModel()
+
+    /** Whether the store neither answers nor does anything. */
+    var out = false
+
+    /** Whether writes take effect and their answers are lost. */
+    var losesAnswers = false
+
+    /** How much later than usual the store answers. */
+    var delay: Duration = Duration.ZERO
+
+    /** Makes [call] for the process at [from]; [reply] is called exactly once. */
+    fun call(from: Site, call: StoreCall, reply: (StoreReply) -> Unit) {
+        val wait = if (call is StoreCall.Watch) call.wait else Duration.ZERO
+        var done = false
+        val answer = { result: StoreReply -> if (!done) { done = true; reply(result) } }
+        time.after(patience + wait) { answer(StoreReply.Unavailable) }
+        network.send(from, site) {
+            if (out) return@send
+            model.handle(call, now()) { result -> sendBack(from, result, answer) }
+            scheduleExpiry()
+        }
+    }
+
+    private fun sendBack(to: Site, result: StoreReply, answer: (StoreReply) -> Unit) {
+        if (out || (losesAnswers && result is StoreReply.Written)) return
+        time.after(delay) { network.send(site, to) { answer(result) } }
+    }
+
+    private fun scheduleExpiry() {
+        val next = model.nextExpiry()?.nanos ?: return
+        if (next >= expiryAt && expiryAt > time.now) return
+        expiryAt = maxOf(next, time.now + EXPIRY_STEP)
+        time.at(expiryAt) {
+            if (!out) model.expire(now())
+            if (expiryAt <= time.now) expiryAt = Long.MAX_VALUE
+            scheduleExpiry()
+        }
+    }
+
+    private fun now() = Moment(time.now)
+
+    private companion object {
+        const val EXPIRY_STEP = 1_000_000L
+    }
+}
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -61,7 +61,8 @@
                 PeerMessage.Denied(pool, RequestId(9), Refusal(Reason.Overloaded, "full", 20.milliseconds)),
                 PeerMessage.Denied(pool, RequestId(9), Refusal(Reason.Overloaded, "full")),
                 PeerMessage.Release(pool, RequestId(9), PlaceResult.Served, 7.milliseconds),
-                PeerMessage.Yield(pool, Term(3)),
+                PeerMessage.Holding(pool, setOf(RequestId(9))),
+            PeerMessage.Yield(pool, Term(3)),
                 PeerMessage.Yielded(pool, Term(3)),
             )
             for (message in messages) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -40,11 +40,18 @@
     private val upstreams = HashMap<UpstreamId, Upstream>()
     private val homeDuties = HashMap<UpstreamId?, String>()
     private val retries = RetryBudget(settings)
+    private val places = HashMap<PlaceGiver, Moment>()
     private var sweeping = false
 
     /** How many requests are accepted and not yet answered. */
     val pending: Int get() = requests.size
 
+    /** Begins to tell homes which of their places are in use. */
+    fun start(now: Moment) {
+        tellHomes(now)
+        timers.at(now + settings.holding, ::start)
+    }
+
     /** Takes the pools of [declaration] over. */
     fun configure(declaration: Declaration, now: Moment) {
         upstreams.clear()
@@ -136,6 +143,11 @@
         schedulers[message.pool]?.release(from, message.id, message.result, message.duration, now)
     }
 
+    /** Handles another VM's list of the places that it uses. */
+    fun holding(from: VmId, message: PeerMessage.Holding, now: Moment) {
+        schedulers[message.pool]?.reconcile(from, message.ids, now)
+    }
+
     /** Tries again at once what waited for the owners of [pool] to change. */
     fun ownersChanged(pool: PoolName, now: Moment) {
         schedulers[pool]?.ownersChanged(now)
@@ -176,6 +188,7 @@
         waiting -= request
         request.attempts++
         request.state = PendingRequest.State.Running(home, upstream, now)
+        if (home != vms.self) places[PlaceGiver(home, request.pool.name)] = now
         val version = request.slot?.let { owners[request.pool.name]?.record?.version }
         effects.add(
             Effect.Forward(
@@ -242,6 +255,18 @@
         if (home == vms.self || vm == null) released(vms.self, release, now) else vms.send(vm, release)
     }
 
+    /** Without this, a place whose release was lost would stay taken until the request's deadline. */
+    private fun tellHomes(now: Moment) {
+        places.values.removeIf { it + settings.holdingMemory < now }
+        if (places.isEmpty()) return
+        val running = requests.values.filter { it.state is PendingRequest.State.Running }
+            .groupBy { PlaceGiver((it.state as PendingRequest.State.Running).home, it.pool.name) }
+        for (giver in places.keys) {
+            val ids = running[giver].orEmpty().map { it.id }.toSet()
+            vms.vm(giver.home)?.let { vms.send(it, PeerMessage.Holding(giver.pool, ids)) }
+        }
+    }
+
     private fun scheduleSweep(now: Moment) {
         if (sweeping) return
         sweeping = true
@@ -288,6 +313,8 @@
         NotRunCause.Unreachable, NotRunCause.NotOwner, NotRunCause.Draining -> OWNER_AWAY
     }
 
+    private data class PlaceGiver(val home: VmId, val pool: PoolName)
+
     private inner class Output(private val pool: PoolName) : SchedulerOutput {
         override fun reserved(reservation: Reservation, upstream: UpstreamId, now: Moment) {
             val message = PeerMessage.Reserved(pool, reservation.id, upstream)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
@@ -93,6 +93,12 @@
         serve(if (pool.keyed) held.upstream else null, now)
     }
 
+    /** Frees the places of VM [entry] that it does not know of: the word that they are free was lost. */
+    fun reconcile(entry: VmId, ids: Set<RequestId>, now: Moment) {
+        val settled = now - settings.holding * 2
+        free(running.filter { (place, held) -> place.entry == entry && held.since < settled && place.id !in ids }, now)
+    }
+
     /** Sorts the waiting requests anew, after the pool's owners or upstreams have changed. */
     fun ownersChanged(now: Moment) {
         val waiting = queues.values.flatMap { it.drain() }
@@ -107,12 +113,15 @@
         for (queue in queues.values) {
             queue.removeIf { it.deadline <= now }.forEach { deny(it, now) }
         }
-        val lost = running.filterValues { it.expires <= now }
-        lost.forEach { (place, held) ->
+        free(running.filterValues { it.expires <= now }, now)
+        queues.keys.toList().forEach { serve(it, now) }
+    }
+
+    private fun free(lost: Map<Place, Running>, now: Moment) {
+        for ((place, held) in lost) {
             running.remove(place)
             loads[held.upstream]?.giveBack(PlaceResult.Unused, Duration.ZERO, now)
         }
-        queues.keys.toList().forEach { serve(it, now) }
     }
 
     private fun deny(reservation: Reservation, now: Moment) {
@@ -138,7 +147,7 @@
             val place = Place(reservation.entry, reservation.id)
             queued -= place
             load.take()
-            running[place] = Running(load.upstream.id, reservation.deadline + settings.homeSuspicion)
+            running[place] = Running(load.upstream.id, now, reservation.deadline + settings.homeSuspicion)
             output.reserved(reservation, load.upstream.id, now)
         }
     }
@@ -184,7 +193,7 @@
 
     private data class Place(val entry: VmId, val id: RequestId)
 
-    private class Running(val upstream: UpstreamId, val expires: Moment)
+    private class Running(val upstream: UpstreamId, val since: Moment, val expires: Moment)
 
     private companion object {
         val TOO_LATE = Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free")
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -96,6 +96,7 @@
         watcher.start(now)
         disseminator.start(now)
         budgets.start(now)
+        dispatcher.start(now)
         forgive(now)
     }
 
@@ -121,6 +122,7 @@
             is PeerMessage.Reserved -> dispatcher.reserved(from, message, now)
             is PeerMessage.Denied -> dispatcher.denied(from, message, now)
             is PeerMessage.Release -> dispatcher.released(from, message, now)
+            is PeerMessage.Holding -> dispatcher.holding(from, message, now)
             is PeerMessage.BudgetRequest -> keepBudget(from, message, now)
             is PeerMessage.BudgetReply -> budgets.replied(from, message, now)
             is PeerMessage.RecordUpdate -> learn(message.record, from, now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -65,6 +65,8 @@
     val retryRatio: Double = 0.1,
     val retryBurst: Int = 50,
     val sweep: Duration = 5.milliseconds,
+    val holding: Duration = 100.milliseconds,
+    val holdingMemory: Duration = 5.seconds,
     val homeSilence: Duration = 60.milliseconds,
     val homeSuspicion: Duration = 1.seconds,
     val backoff: Duration = 20.milliseconds,
