Hold ownership through random faults: certainty before any move, duties that survive lost answers

Traces showed five causes: an allocator whose store lease had lapsed took its key back without looking whether a higher term had been raised meanwhile; it took silence for a lapsed lease although a successor may extend that lease; a restarted upstream has forgotten its term and took orders of an older allocator; a VM not yet on a peer's list counted as gone; a key written by a call whose answer was lost was never taken up. Change: an allocator decides about owners only while it is certain that no higher term exists: its store lease is current, or the store is out and every other listed VM promises to leave the duty alone (OutageWitness). After a gap it waits until every lease of that time has run out. New runs get leases only from a certain allocator. Records are saved after an outage without granting again. Planned stops tell the peers, keepers release waivers, and a VM is ready only once it has been listed for a second. Forwards over open connections no longer lose messages in the bench. Ruled out: clock drift (bound is twice the stated drift), late lease orders (expiry counts from the upstream's own reading). Conclusion: no allocator may infer a lapse from silence alone; certainty about the term has to come first.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -38,9 +38,17 @@
     public data class BudgetRequest(val tenant: TenantName, val sequence: Long, val stamp: Moment?, val demand: Int) :
         PeerMessage
 
-    /** Lends [tokens] requests in answer to request [sequence]; [stamp] is the keeper's clock reading. */
-    public data class BudgetReply(val tenant: TenantName, val sequence: Long, val stamp: Moment, val tokens: Int) :
-        PeerMessage
+    /**
+     * Lends [tokens] requests in answer to request [sequence]; [stamp] is the keeper's clock reading. With [released]
+     * the keeper has given up every waiver of the receiver and lends nothing more.
+     */
+    public data class BudgetReply(
+        val tenant: TenantName,
+        val sequence: Long,
+        val stamp: Moment,
+        val tokens: Int,
+        val released: Boolean = false,
+    ) : PeerMessage
 
     /** Asks the home VM of [pool] for a place at an upstream for one request. */
     public data class Reserve(
@@ -65,6 +73,18 @@
     /** Names all requests of the sender that run in places of [pool] which the receiver gave. */
     public data class Holding(val pool: PoolName, val ids: Set<RequestId>) : PeerMessage
 
+    /** Asks whether the receiver, too, gets no answer from the store, and to leave the duty of [pool] alone. */
+    public data class OutageQuery(val pool: PoolName, val term: Term, val sequence: Long) : PeerMessage
+
+    /**
+     * Answers query [sequence]: the sender gets no answer from the store, holds no higher term and will not begin to
+     * take the duty of [pool] within the promise time.
+     */
+    public data class OutagePromise(val pool: PoolName, val term: Term, val sequence: Long) : PeerMessage
+
+    /** The sender is about to stop and gives its roles up. */
+    public data object Leaving : PeerMessage
+
     /** Tells the holder of a lower [term] of [pool] to stop. */
     public data class Yield(val pool: PoolName, val term: Term) : PeerMessage
 
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/FaultsExperiment.kt
@@ -0,0 +1,21 @@
+package cicadagauge.bench.ownership
+
+import cicadagauge.bench.Options
+import cicadagauge.standins.deployment.DeploymentShape
+import cicadagauge.store.Json
+import kotlin.time.Duration.Companion.seconds
+
+/** `bench faults`: random faults over the seeds given, a JSON line per seed. */
+class FaultsExperiment(arguments: List<String>) {
+    private val options = Options(arguments, known = setOf("--seeds", "--first", "--seconds"))
+    private val seeds = options.int("--seeds", default = 5)
+    private val first = options.int("--first", default = 1).toLong()
+    private val length = options.int("--seconds", default = 120).seconds
+
+    /** Runs the seeds; true where no slot had two owners and each has one in the end. */
+    fun run(): Boolean = (first until first + seeds).map { seed ->
+        val run = RandomFaults(DeploymentShape.HOSHIZORA, seed, length).run()
+        println(Json.mapper.writeValueAsString(run))
+        run.maxOwners <= 1 && run.unowned == 0
+    }.all { it }
+}
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -201,14 +201,14 @@
             time.after(network.delay(vm.site, upstream.site) * 2) { end(AttemptOutcome.NotRun(NotRunCause.Unreachable)) }
             return
         }
-        network.send(vm.site, upstream.site) {
+        network.deliver(vm.site, upstream.site) {
             upstream.run(effect.slot, { observer.began(this, upstream, effect) }) { result -> answer(vm, upstream, result, end) }
         }
         upstream.onCrash { end(AttemptOutcome.Lost(timedOut = false)) }
     }
 
     private fun answer(vm: VirtualVm, upstream: VirtualUpstream, result: RunResult, end: (AttemptOutcome) -> Unit) {
-        network.send(upstream.site, vm.site) {
+        network.deliver(upstream.site, vm.site) {
             when (result) {
                 RunResult.Ran -> end(AttemptOutcome.Answered(status = 200))
                 is RunResult.NotRun -> end(AttemptOutcome.NotRun(result.cause))
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualNetwork.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualNetwork.kt
@@ -7,7 +7,10 @@
 /** One end of the network: a process, and the availability zone that it is in. */
 data class Site(val name: String, val zone: String)
 
-/** How messages fare. Probabilities are between 0 and 1; a message that strays takes up to [stray] longer. */
+/**
+ * How messages fare. Probabilities are between 0 and 1; a message that strays takes up to [stray] longer.
+ * Open connections to upstreams take [connection], or what other messages take.
+ */
 data class NetworkTraits(
     val sameZone: Duration = 0.1.milliseconds,
     val crossZone: Duration = 0.5.milliseconds,
@@ -15,6 +18,7 @@
     val repeat: Double = 0.0,
     val straying: Double = 0.0,
     val stray: Duration = 500.milliseconds,
+    val connection: Duration? = null,
 )
 
 /** Delivers messages between sites, late, twice or never, as its traits and cuts say. */
@@ -31,6 +35,9 @@
         return Cut { cuts -= between }
     }
 
+    /** Heals every cut. */
+    fun healAll() = cuts.clear()
+
     /** A cut that can be healed. */
     fun interface Cut {
         fun heal()
@@ -48,6 +55,12 @@
         return true
     }
 
+    /** Delivers over an open connection: late at worst, unless the sites are cut. */
+    fun deliver(from: Site, to: Site, arrive: () -> Unit) {
+        sent++
+        if (isOpen(from, to)) time.after(traits.connection ?: delay(from, to)) { arrive() }
+    }
+
     /** How long a message takes. */
     fun delay(from: Site, to: Site): Duration {
         val base = if (from.zone == to.zone) traits.sameZone else traits.crossZone
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudget.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudget.kt
@@ -84,6 +84,7 @@
     fun reply(from: VmId, reply: PeerMessage.BudgetReply, now: Moment) {
         if (from != keeper || reply.sequence != sequence || answered) return
         answered = true
+        if (reply.released) return released(from, now)
         stamp = Stamp(reply.stamp, now)
         if (reply.tokens == 0) {
             emptyUntil = now + settings.emptyPause
@@ -112,6 +113,15 @@
         return proof.reading
     }
 
+    /** The keeper counts on no waiver any more, so the portion is this VM's own again, empty at first. */
+    private fun released(vm: VmId, now: Moment) {
+        stamp = null
+        if (waivedTo != vm) return
+        waivedTo = null
+        ownFrom = minOf(ownFrom, now)
+        own.empty(from = now)
+    }
+
     private fun switchTo(vm: VmId) {
         keeper = vm
         stamp = null
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudgets.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudgets.kt
@@ -24,6 +24,7 @@
 ) {
     private val accounts = HashMap<TenantName, Account>()
     private val keepers = HashMap<TenantName, BudgetKeeper>()
+    private var stopping = false
     private var portions: Map<TenantName, Portion> = emptyMap()
 
     /** Decides about a request. [admitted] and [refused] are called now or later, exactly one of them once. */
@@ -60,6 +61,7 @@
     /** Answers another VM's, or this VM's own, request for tokens. */
     fun keep(from: VmId, request: PeerMessage.BudgetRequest, now: Moment): PeerMessage.BudgetReply? {
         val portion = portions[request.tenant] ?: return null
+        if (stopping) return PeerMessage.BudgetReply(request.tenant, request.sequence, now, tokens = 0, released = true)
         val keeper = keepers.getOrPut(request.tenant) { BudgetKeeper(portion, settings, now) }
         val tokens = keeper.request(from, request.stamp, request.demand, now)
         return PeerMessage.BudgetReply(request.tenant, request.sequence, stamp = now, tokens = tokens)
@@ -77,6 +79,12 @@
         for (account in accounts.values) ask(account, now)
     }
 
+    /** Lends nothing more: every waiver to this VM is given up, and each VM learns it with its next request. */
+    fun stop() {
+        stopping = true
+        keepers.clear()
+    }
+
     /** Starts the periodic refresh. */
     fun start(now: Moment) {
         refresh(now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -157,7 +157,13 @@
 
     private fun reserve(request: PendingRequest, now: Moment) {
         val home = homeOf(request)
-        request.state = PendingRequest.State.Reserving(home, now + settings.homeSilence)
+        val before = (request.state as? PendingRequest.State.Reserving)?.takeIf { it.home == home }
+        request.state = PendingRequest.State.Reserving(
+            home = home,
+            since = before?.since ?: now,
+            tries = (before?.tries ?: 0) + 1,
+            answerDue = now + settings.homeSilence,
+        )
         waiting += request
         scheduleSweep(now)
         val message = PeerMessage.Reserve(
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
@@ -11,11 +11,14 @@
 import cicadagauge.node.Effects
 import cicadagauge.peer.PeerMessage
 import com.dynatrace.hash4j.hashing.Hashing
+import kotlin.time.Duration
 
 /** What one VM knows of all VMs, [self] included. */
 internal class VmDirectory(val self: VmId, val zone: AvailabilityZone, private val effects: Effects) {
     private var vms: Map<VmId, Vm> = emptyMap()
     private val suspects = HashMap<VmId, Moment>()
+    private val departing = HashSet<VmId>()
+    private val seen = LinkedHashSet<VmId>()
     private val heard = HashMap<VmId, Moment>()
     private var rankings = HashMap<String, List<Vm>>()
 
@@ -30,15 +33,37 @@
     /** Whether a list was ever received. */
     fun isListed(): Boolean = vms.isNotEmpty()
 
+    /** Since when the platform lists this VM itself; never before it does. */
+    var selfListedSince: Moment = Moment.FUTURE
+        private set
+
     /** Whether the platform lists [vm]. */
     fun isListed(vm: VmId): Boolean = vm in vms
 
+    /**
+     * Whether [vm], which was running at [aliveAt], has certainly gone at [now]: it was listed and is no longer, or it
+     * has not shown on the list for longer than the list's [lag].
+     */
+    fun isGone(vm: VmId, aliveAt: Moment, lag: Duration, now: Moment): Boolean {
+        if (vm in vms || vms.isEmpty()) return false
+        return vm in seen || (aliveAt + lag <= now && updatedAt + lag > now)
+    }
+
+    /** When the platform's list was last received. */
+    var updatedAt: Moment = Moment.PAST
+        private set
+
     /** The VM called [id], or null where it is not listed. */
     fun vm(id: VmId): Vm? = vms[id]
 
     /** Takes the platform's list over. */
-    fun update(list: List<Vm>) {
+    fun update(list: List<Vm>, now: Moment) {
         vms = list.associateBy { it.id }
+        if (self !in vms) selfListedSince = Moment.FUTURE else selfListedSince = minOf(selfListedSince, now)
+        departing.retainAll(vms.keys)
+        updatedAt = now
+        seen += vms.keys
+        while (seen.size > MAX_SEEN) seen.remove(seen.first())
         all = list.sortedBy { it.id }
         peers = all.filter { it.id != self }
         suspects.keys.retainAll(vms.keys)
@@ -48,10 +73,15 @@
 
     /** The VMs in the order in which they are responsible for [duty]: leaving and suspected ones last. */
     fun ranked(duty: String): List<Vm> = rankings.getOrPut(duty) {
-        val scored = all.map { Ranked(it, it.leaving || it.id in suspects, score(duty, it.id)) }
+        val scored = all.map { Ranked(it, it.leaving || it.id in departing || it.id in suspects, score(duty, it.id)) }
         scored.sortedWith(compareBy({ it.last }, { it.score })).map { it.vm }
     }
 
+    /** Ranks [vm] last from now on, because it has said that it stops. */
+    fun depart(vm: VmId) {
+        if (departing.add(vm)) rankings.clear()
+    }
+
     /** Ranks [vm] last until [until], because it doesn't answer. */
     fun suspect(vm: VmId, until: Moment) {
         if (vm == self) return
@@ -79,5 +109,9 @@
 
     private fun score(duty: String, vm: VmId): Long = Hashing.xxh3_64().hashCharsToLong("$duty|${vm.value}")
 
+    private companion object {
+        const val MAX_SEEN = 50_000
+    }
+
     private class Ranked(val vm: Vm, val last: Boolean, val score: Long)
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -53,6 +53,7 @@
         timers = timers,
         effects = effects,
         publisher = { record, now -> learn(record, source = null, now = now) },
+        owners = owners,
     )
     private val watcher = StoreWatcher(store, watchers, settings.dissemination, timers, Listener())
     private var wakeAt = Moment.FUTURE
@@ -68,7 +69,7 @@
 
     override fun status(now: Moment): NodeStatus = NodeStatus(
         vm = settings.vm,
-        ready = isReady(),
+        ready = isReady(now),
         declaration = declarations.version,
         duties = duties.held,
         pools = owners.records().map(::poolStatus),
@@ -102,11 +103,14 @@
 
     private fun stop(now: Moment) {
         stopping = true
+        vms.depart(vms.self)
+        vms.peers.forEach { vms.send(it, PeerMessage.Leaving) }
+        budgets.stop()
         duties.stop(now)
     }
 
     private fun listed(list: List<Vm>, now: Moment) {
-        vms.update(list)
+        vms.update(list, now)
         duties.considerAll(now)
     }
 
@@ -128,6 +132,9 @@
             is PeerMessage.RecordUpdate -> learn(message.record, from, now)
             is PeerMessage.DeclarationUpdate -> learnDeclaration(message.text, from, now)
             is PeerMessage.Digest -> disseminator.compare(from, message)
+            PeerMessage.Leaving -> vms.depart(from)
+            is PeerMessage.OutageQuery -> duties.promise(from, message, now)
+            is PeerMessage.OutagePromise -> duties.promised(from, message)
             is PeerMessage.Yield -> duties.yieldTo(from, message, now)
             is PeerMessage.Yielded -> duties.yielded(from, message, now)
         }
@@ -156,9 +163,10 @@
         disseminator.spreadRecord(record, source)
     }
 
-    private fun isReady(): Boolean {
+    private fun isReady(now: Moment): Boolean {
         val declaration = declarations.current ?: return false
-        return !stopping && declaration.pools.filter { it.keyed }.all { owners[it.name] != null }
+        val known = vms.selfListedSince + settings.listedBeforeReady <= now
+        return !stopping && known && declaration.pools.filter { it.keyed }.all { owners[it.name] != null }
     }
 
     private fun poolStatus(record: OwnershipRecord): PoolStatus {
@@ -183,11 +191,8 @@
 
     private inner class Listener : StoreListener {
         override fun snapshot(entries: List<StoreEntry>, now: Moment) {
-            entries.forEach { changed(it, now) }
-            val holders = entries.mapNotNull { entry ->
-                dutyOf(entry)?.let { pool -> entry.value?.let { pool to VmId(it) } }
-            }
-            duties.snapshotRead(holders.toMap(), now)
+            val (held, others) = entries.partition { dutyOf(it) != null }
+            (others + held).forEach { changed(it, now) }
         }
 
         override fun changed(entry: StoreEntry, now: Moment) {
@@ -195,7 +200,7 @@
             val value = entry.value
             val duty = dutyOf(entry)
             when {
-                duty != null -> duties.holderChanged(duty, value?.let(::VmId), now)
+                duty != null -> duties.holderChanged(duty, value?.let(::VmId), entry.revision, now)
                 value == null -> Unit
                 entry.key == StoreKeys.DECLARATION -> learnDeclaration(value, null, now)
                 key.startsWith(StoreKeys.RECORDS) -> recordCodec.decode(value).onRight { learn(it, null, now) }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -14,6 +14,7 @@
     val budgets: BudgetSettings = BudgetSettings(),
     val dispatch: DispatchSettings = DispatchSettings(),
     val dissemination: DisseminationSettings = DisseminationSettings(),
+    val listedBeforeReady: Duration = 1.seconds,
 )
 
 /**
@@ -32,6 +33,8 @@
     val pace: Duration = 200.milliseconds,
     val storeOut: Duration = 1.seconds,
     val storeRetry: Duration = 50.milliseconds,
+    val outagePromise: Duration = 2.seconds,
+    val listLag: Duration = 10.seconds,
     val clockDrift: Double = 0.01,
 )
 
@@ -67,7 +70,8 @@
     val sweep: Duration = 5.milliseconds,
     val holding: Duration = 100.milliseconds,
     val holdingMemory: Duration = 5.seconds,
-    val homeSilence: Duration = 60.milliseconds,
+    val homeSilence: Duration = 40.milliseconds,
+    val homeTries: Int = 3,
     val homeSuspicion: Duration = 1.seconds,
     val backoff: Duration = 20.milliseconds,
     val maxBackoff: Duration = 160.milliseconds,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -20,9 +20,11 @@
 import cicadagauge.node.StateChange
 import cicadagauge.node.Timers
 import cicadagauge.peer.PeerMessage
+import cicadagauge.routing.OwnerDirectory
 import cicadagauge.store.RecordCodec
 import cicadagauge.store.StoreCall
 import cicadagauge.store.StoreClient
+import cicadagauge.store.StoreEntry
 import cicadagauge.store.StoreKey
 import cicadagauge.store.StoreKeys
 import cicadagauge.store.StoreReply
@@ -43,6 +45,7 @@
     private val timers: Timers,
     private val effects: Effects,
     private val publisher: RecordPublisher,
+    private val owners: OwnerDirectory,
 ) {
     private val lease = DutyLease(store, timers, settings, ::leaseLapsed)
     private val duties = HashMap<PoolName, Duty>()
@@ -63,15 +66,9 @@
         considerAll(now)
     }
 
-    /** Notes who holds the duty of [pool] according to the store; null where nobody does. */
-    fun holderChanged(pool: PoolName, holder: VmId?, now: Moment) {
-        val duty = duties[pool] ?: return
-        duty.holderChanged(holder, now)
-    }
-
-    /** The store's duties were read in whole: a duty that was not among them has no holder. */
-    fun snapshotRead(holders: Map<PoolName, VmId>, now: Moment) {
-        for ((name, duty) in duties) duty.holderChanged(holders[name], now)
+    /** Notes who holds the duty of [pool] as of [revision] of the store; null where nobody does. */
+    fun holderChanged(pool: PoolName, holder: VmId?, revision: StoreRevision, now: Moment) {
+        duties[pool]?.holderChanged(holder, revision, now)
     }
 
     /** Takes an upstream's answer to a grant order. */
@@ -93,6 +90,20 @@
         duties[message.pool]?.allocator?.takeIf { it.term == message.term }?.predecessorStopped(from, now)
     }
 
+    /** Promises to leave a duty alone, where this VM gets no answer from the store either. */
+    fun promise(from: VmId, message: PeerMessage.OutageQuery, now: Moment) {
+        val duty = duties[message.pool]
+        if (duty != null && !duty.mayPromise(message.term, now)) return
+        duty?.promise(now)
+        vms.vm(from)?.let { vms.send(it, PeerMessage.OutagePromise(message.pool, message.term, message.sequence)) }
+    }
+
+    /** Takes another VM's promise. */
+    fun promised(from: VmId, message: PeerMessage.OutagePromise) {
+        val duty = duties[message.pool] ?: return
+        if (duty.allocator?.term == message.term) duty.witness.promised(from, message)
+    }
+
     /** Looks at every duty that nobody holds. */
     fun considerAll(now: Moment) {
         if (!stopping) duties.values.forEach { it.consider(now) }
@@ -116,13 +127,21 @@
         duties.values.forEach { it.keyLapsed(now) }
     }
 
+    /** One pool's duty, as this VM sees it. */
     private inner class Duty(var pool: Pool, since: Moment) : AllocatorContext {
         private val dutyKey = StoreKey(StoreKeys.DUTIES + pool.name)
         private val recordKey = StoreKey(StoreKeys.RECORDS + pool.name)
         private var vacantSince: Moment? = since
-        private var acquiring = false
+        private var seenRevision = StoreRevision.ABSENT
+        private var busy = false
+        private var attempted = false
+        private var isOwnKey = false
         private var keyRevision = StoreRevision.ABSENT
         private var recordRevision = StoreRevision.ABSENT
+        private var heldSince: Moment? = null
+        private var promisedUntil = Moment.PAST
+        private var askedAt = Moment.PAST
+        val witness = OutageWitness(pool.name, vms, settings)
         var allocator: PoolAllocator? = null
 
         fun configure(newPool: Pool, newDeclaration: Declaration) {
@@ -130,64 +149,120 @@
             allocator?.configure(newPool, newDeclaration)
         }
 
-        fun holderChanged(holder: VmId?, now: Moment) {
-            if (holder != null) vacantSince = null
-            if (holder != null && holder != vms.self && allocator != null && !acquiring) lost(now)
-            if (holder == null && vacantSince == null) vacantSince = now
-            consider(now)
+        /** Takes news of the key's holder; news that is older than what is known changes nothing. */
+        fun holderChanged(holder: VmId?, revision: StoreRevision, now: Moment) {
+            if (revision <= seenRevision) return
+            seenRevision = revision
+            if (holder == null) vacantSince = vacantSince ?: now else vacantSince = null
+            if (holder != null && holder != vms.self && allocator != null) lost(now)
+            isOwnKey = holder == vms.self && attempted
+            if (holder == null && allocator != null) keyLapsed(now) else consider(now)
+        }
+
+        fun mayPromise(term: Term, now: Moment): Boolean {
+            val own = allocator
+            return !busy && (own == null || own.term < term) && isStoreOut(now)
+        }
+
+        fun promise(now: Moment) {
+            promisedUntil = maxOf(promisedUntil, now + settings.outagePromise)
         }
 
         /** Takes the duty if it is vacant and every VM that ranks before this one has had its chance. */
         fun consider(now: Moment) {
+            if (stopping || busy || allocator != null || !vms.isListed()) return
+            if (isOwnKey) return resume(now)
             val since = vacantSince ?: return
-            if (stopping || acquiring || allocator != null || !vms.isListed()) return
-            val rank = watchers.eligible().let { eligible -> vms.ranked(dutyKey.value).filter { it.id in eligible } }
-                .indexOfFirst { it.id == vms.self }
+            val rank = rank()
             if (rank < 0) return
-            val due = since + settings.standbyStagger * rank
+            val due = maxOf(since + settings.standbyStagger * rank, promisedUntil, knownLongEnough())
             if (now < due) return timers.at(due, ::consider)
             lease.want(now)
             if (lease.id == null) return timers.at(now + settings.storeRetry, ::consider)
-            takeKey()
+            busy = true
+            attempted = true
+            takeKey(now)
         }
 
-        private fun takeKey() {
-            acquiring = true
-            val call = StoreCall.Put(dutyKey, vms.self.value, StoreRevision.ABSENT, lease.id)
-            store.call(call) { reply, moment ->
-                when {
-                    reply is StoreReply.Written -> keyTaken(reply.revision, moment)
-                    reply is StoreReply.Conflict && reply.current.value == vms.self.value ->
-                        keyTaken(reply.current.revision, moment)
-                    else -> {
-                        acquiring = false
-                        if (reply is StoreReply.Conflict) vacantSince = null
-                        timers.at(moment + settings.storeRetry, ::consider)
-                    }
+        /** The key is this VM's by a write whose answer was lost. */
+        private fun resume(now: Moment) {
+            busy = true
+            keyTaken(seenRevision, now)
+        }
+
+        private fun rank(): Int {
+            val eligible = watchers.eligible()
+            return vms.ranked(dutyKey.value).filter { it.id in eligible }.indexOfFirst { it.id == vms.self }
+        }
+
+        /**
+         * From when every VM that might be the allocator has this one on its list, and counts on its promise; at
+         * once where the last known allocator is gone.
+         */
+        private fun knownLongEnough(): Moment {
+            val last = owners[pool.name]?.record?.allocator ?: return Moment.PAST
+            val atRisk = last != vms.self && vms.isListed(last)
+            return if (atRisk) vms.selfListedSince + settings.outagePromise * 2 else Moment.PAST
+        }
+
+        /** Puts the key under this VM's lease; it is there already where an answer was lost. */
+        private fun takeKey(now: Moment) {
+            val id = lease.id
+            if (stopping || id == null) return release(now)
+            store.call(StoreCall.Put(dutyKey, vms.self.value, StoreRevision.ABSENT, id)) { reply, moment ->
+                when (reply) {
+                    is StoreReply.Written -> keyTaken(reply.revision, moment)
+                    is StoreReply.Conflict -> keyHeld(reply.current, moment)
+                    else -> release(moment)
                 }
             }
         }
 
+        private fun keyHeld(current: StoreEntry, now: Moment) {
+            if (current.value == vms.self.value) return keyTaken(current.revision, now)
+            holderChanged(current.value?.let(::VmId), current.revision, now)
+            release(now)
+        }
+
         private fun keyTaken(revision: StoreRevision, now: Moment) {
             keyRevision = revision
+            seenRevision = maxOf(seenRevision, revision)
             vacantSince = null
-            if (allocator == null) raiseTerm(now) else acquiring = false
+            isOwnKey = true
+            raiseTerm(now)
         }
 
+        /** Ends an attempt to take the duty; another follows where it is still vacant. */
+        private fun release(now: Moment) {
+            busy = false
+            timers.at(now + settings.storeRetry, ::consider)
+        }
+
+        /** Raises the term, or finds that this VM still holds the one it had before its lease lapsed. */
         private fun raiseTerm(now: Moment) {
             if (now >= lease.validUntil) return abandon(now)
             store.call(StoreCall.Get(recordKey)) { reply, moment ->
-                val text = (reply as? StoreReply.Found)?.entry?.value
+                if (reply !is StoreReply.Found) return@call timers.at(moment + settings.storeRetry, ::raiseTerm)
+                val stored = reply.entry.value?.let { codec.decode(it).getOrNull() }
+                val own = allocator
                 when {
-                    reply !is StoreReply.Found -> timers.at(moment + settings.storeRetry, ::raiseTerm)
-                    text == null -> writeTerm(firstRecord(), reply.entry.revision)
-                    else -> codec.decode(text).fold({
+                    reply.entry.value != null && stored == null -> abandon(moment)
+                    own == null -> writeTerm(stored?.let(::successor) ?: firstRecord(), reply.entry.revision)
+                    stored?.term == own.term -> regained(reply.entry.revision, moment)
+                    else -> {
+                        lost(moment)
                         abandon(moment)
-                    }) { writeTerm(successor(it), reply.entry.revision) }
+                    }
                 }
             }
         }
 
+        private fun regained(revision: StoreRevision, now: Moment) {
+            busy = false
+            recordRevision = revision
+            heldSince = now
+        }
+
         private fun writeTerm(record: OwnershipRecord, expect: StoreRevision) {
             store.call(StoreCall.Put(recordKey, codec.encode(record), expect)) { reply, moment ->
                 if (reply is StoreReply.Written) begin(record, reply.revision, moment) else raiseTerm(moment)
@@ -195,8 +270,10 @@
         }
 
         private fun begin(record: OwnershipRecord, revision: StoreRevision, now: Moment) {
-            acquiring = false
+            if (now >= lease.validUntil) return abandon(now)
+            busy = false
             recordRevision = revision
+            heldSince = now
             val known = declaration ?: return
             effects.add(Effect.StateChanged(StateChange.DutyTaken(pool.name, record.term)))
             allocator = PoolAllocator(pool, known, record, vms, settings, timers, effects, context = this, start = now)
@@ -208,17 +285,8 @@
             version = RecordVersion.NONE.next(),
             allocator = vms.self,
             slots = pool.slots,
-            members = pool.upstreams.map {
-                Member(
-                    it.id,
-                    if (declaration?.isOut(it) ==
-                        true
-                    ) {
-                        Member.NO_SHARE
-                    } else {
-                        Member.FULL_SHARE
-                    },
-                )
+            members = pool.upstreams.map { upstream ->
+                Member(upstream.id, if (declaration?.isOut(upstream) == true) Member.NO_SHARE else Member.FULL_SHARE)
             },
         )
 
@@ -229,46 +297,55 @@
             predecessors = record.predecessors + record.allocator,
         )
 
+        /** The key is this VM's, but its lease has run out: it will be taken anew once the store has dropped it. */
         private fun abandon(now: Moment) {
-            acquiring = false
-            vacantSince = vacantSince ?: now
+            busy = false
+            isOwnKey = false
+            heldSince = null
+            vacantSince = now
             timers.at(now + settings.dutyLease, ::consider)
         }
 
         /** The store has dropped the key with its lease: take it anew, unless another VM has. */
         fun keyLapsed(now: Moment) {
-            if (allocator == null) return
-            if (acquiring) return
-            acquiring = true
+            heldSince = null
+            if (allocator == null || busy) return
+            busy = true
             retake(now)
         }
 
         private fun retake(now: Moment) {
-            val id = lease.id
-            if (allocator == null || stopping) {
-                acquiring = false
-                return
-            }
-            if (id == null) return timers.at(now + settings.storeRetry, ::retake)
-            store.call(StoreCall.Put(dutyKey, vms.self.value, StoreRevision.ABSENT, id)) { reply, moment ->
-                when (reply) {
-                    is StoreReply.Written -> keyTaken(reply.revision, moment)
-                    is StoreReply.Conflict -> {
-                        acquiring = false
-                        if (reply.current.value ==
-                            vms.self.value
-                        ) {
-                            timers.at(moment + settings.dutyLease, ::keyLapsed)
-                        } else {
-                            lost(moment)
-                        }
+            if (allocator == null || stopping) return release(now)
+            if (lease.id == null) return timers.at(now + settings.storeRetry, ::retake)
+            takeKeyAgain(now)
+        }
+
+        private fun takeKeyAgain(now: Moment) {
+            store.call(StoreCall.Put(dutyKey, vms.self.value, StoreRevision.ABSENT, lease.id)) { reply, moment ->
+                val current = (reply as? StoreReply.Conflict)?.current
+                when {
+                    reply is StoreReply.Written -> keyTaken(reply.revision, moment)
+                    current == null -> timers.at(moment + settings.storeRetry, ::retake)
+                    current.value != vms.self.value -> {
+                        lost(moment)
+                        keyHeld(current, moment)
                     }
+                    current.revision > keyRevision -> keyTaken(current.revision, moment)
                     else -> timers.at(moment + settings.storeRetry, ::retake)
                 }
             }
         }
 
-        override fun isConfirmed(now: Moment): Boolean = !acquiring && now < lease.validUntil
+        override fun confirmedSince(now: Moment): Moment? {
+            val term = allocator?.term
+            if (now < lease.validUntil && !busy) return heldSince
+            if (term == null || !isStoreOut(now)) return null
+            if (now >= askedAt + settings.renewal) {
+                askedAt = now
+                witness.ask(term, now)
+            }
+            return witness.certainSince(now)
+        }
 
         override fun isStoreOut(now: Moment): Boolean = store.lastAnswer + settings.storeOut < now
 
@@ -310,7 +387,10 @@
             val lost = allocator ?: return
             lost.stop()
             allocator = null
+            isOwnKey = false
+            heldSince = null
             effects.add(Effect.StateChanged(StateChange.DutyLost(pool.name, lost.term)))
+            timers.at(now + settings.storeRetry, ::consider)
         }
 
         fun giveUp(now: Moment) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/HolderState.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/HolderState.kt
@@ -21,6 +21,7 @@
     private var readingAt = Moment.PAST
     private var ackedStep: GrantStep? = null
     private var fencedUntil = Moment.PAST
+    private var newRun = false
 
     /** Whether the upstream refuses every lower term. */
     var claimed = false
@@ -73,9 +74,16 @@
         slots = newSlots
     }
 
-    /** The order to send at [now]: a lease where the upstream may be given one, a claim otherwise. */
-    fun order(pool: PoolName, term: Term, members: List<Member>, now: Moment): GrantOrder {
-        val run = incarnation
+    /** Whether the upstream runs anew and what the run before it held has expired, so that nobody serves its slots. */
+    fun isEmptyHanded(now: Moment): Boolean = newRun && hasLapsed(now)
+
+    /**
+     * The order to send at [now]: a lease where the upstream may be given one, a claim otherwise. A new run has
+     * forgotten every term, so only an allocator that is [confirmed] to hold the highest one gives it a lease.
+     */
+    fun order(pool: PoolName, term: Term, members: List<Member>, confirmed: Boolean, now: Moment): GrantOrder {
+        if (confirmed) newRun = false
+        val run = incarnation.takeUnless { newRun }
         val nothingToHold = slots.size == 0 && (isConfirmed || hasLapsed(now))
         if (!claimed || run == null || nothingToHold || isSilent(now) || now < fencedUntil) {
             return GrantOrder.Claim(pool, upstream, term)
@@ -112,7 +120,10 @@
     private fun restarted(run: Incarnation) {
         incarnation?.let { earlierRuns.addLast(it) }
         if (earlierRuns.size > MAX_EARLIER_RUNS) earlierRuns.removeFirst()
-        if (claimed) fencedUntil = lapsesAt
+        if (claimed) {
+            fencedUntil = lapsesAt
+            newRun = true
+        }
         incarnation = run
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/MembershipPlanner.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/MembershipPlanner.kt
@@ -27,7 +27,7 @@
         lossesOnly: Boolean,
         now: Moment,
     ): List<Member> {
-        val lost = current.map { member -> if (isLost(member, holders, now)) lose(member.upstream) else member }
+        val lost = current.map { member -> if (isLost(member, holders, lossesOnly, now)) lose(member.upstream) else member }
         if (lost != current || lossesOnly) return keepOne(lost, current)
         if (now < lastPaced + settings.pace) return current
         val planned = pace(current, joined(current, pool), pool, declaration, holders, now)
@@ -35,9 +35,15 @@
         return keepOne(planned, current)
     }
 
-    private fun isLost(member: Member, holders: Map<UpstreamId, HolderState>, now: Moment): Boolean {
+    private fun isLost(
+        member: Member,
+        holders: Map<UpstreamId, HolderState>,
+        lossesOnly: Boolean,
+        now: Moment,
+    ): Boolean {
         val holder = holders[member.upstream] ?: return false
-        return member.share > Member.NO_SHARE && holder.isSilent(now) && holder.hasLapsed(now)
+        if (member.share == Member.NO_SHARE) return false
+        return (holder.isSilent(now) && holder.hasLapsed(now)) || (lossesOnly && holder.isEmptyHanded(now))
     }
 
     private fun lose(upstream: UpstreamId): Member {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
@@ -22,8 +22,11 @@
 
 /** What an allocator needs of its surroundings. */
 internal interface AllocatorContext {
-    /** Whether the store's word that this VM holds the duty is current at [now]. */
-    fun isConfirmed(now: Moment): Boolean
+    /**
+     * Since when it is certain that nobody holds a higher term, or null where it is not certain at [now]: the store
+     * says so, or it is out and every other VM has promised to leave the duty alone.
+     */
+    fun confirmedSince(now: Moment): Moment?
 
     /** Whether the store has not answered for so long that losses are handled without it. */
     fun isStoreOut(now: Moment): Boolean
@@ -48,7 +51,7 @@
     private val timers: Timers,
     private val effects: Effects,
     private val context: AllocatorContext,
-    start: Moment,
+    private val start: Moment,
 ) {
     private val holders = LinkedHashMap<UpstreamId, HolderState>()
     private val planner = MembershipPlanner(settings)
@@ -58,6 +61,7 @@
     private var shrinkingSince = start
     private val claimUntil = start + settings.renewal
     private var unproven = initial.predecessors
+    private val settlingTime = settings.lease * (1 + 2 * settings.clockDrift)
     private val fresh = initial.predecessors.isEmpty()
     private val reachable = HashSet<UpstreamId>()
     private var stopped = false
@@ -121,8 +125,7 @@
     }
 
     private fun proveAll(now: Moment) {
-        val bound = now + settings.lease * (1 + 2 * settings.clockDrift)
-        holders.values.forEach { it.proveLapse(bound) }
+        holders.values.forEach { it.proveLapse(now + settlingTime) }
     }
 
     private fun tick(now: Moment) {
@@ -130,7 +133,7 @@
         seekProof(now)
         for (holder in holders.values) {
             if (holder.isSilent(now) && holder.lastHeard != Moment.PAST) noteReachable(holder, false)
-            effects.add(Effect.SendGrant(holder.address, holder.order(pool.name, term, record.members, now)))
+            send(holder, now)
         }
         advance(now)
         timers.at(now + if (state == State.Steady) settings.renewal else settings.transition, ::tick)
@@ -141,13 +144,20 @@
         for (vm in unproven) {
             val listed = vms.vm(vm)
             when {
-                vm == vms.self || (listed == null && vms.isListed()) -> predecessorStopped(vm, now)
+                vm == vms.self || vms.isGone(vm, start, settings.listLag, now) -> predecessorStopped(vm, now)
                 listed != null -> vms.send(listed, PeerMessage.Yield(pool.name, term))
             }
         }
     }
 
+    /**
+     * Every decision about owners needs certainty that no higher term exists: another allocator could extend a
+     * lease that this one takes for lapsed.
+     */
     private fun advance(now: Moment) {
+        val since = context.confirmedSince(now) ?: return
+        val interrupted = since > start
+        if (interrupted && since + settlingTime > now) return
         when (state) {
             State.Claiming -> if (holders.values.all { it.claimed } || now >= claimUntil) reconcile(now)
             State.Shrinking -> when {
@@ -170,9 +180,8 @@
     }
 
     private fun replan(now: Moment) {
-        if (unsaved && context.isConfirmed(now)) return put(record, now)
         val storeOut = context.isStoreOut(now)
-        if (!storeOut && !context.isConfirmed(now)) return
+        if (unsaved && !storeOut) return save()
         val members = planner.plan(record.members, pool, declaration, holders, lossesOnly = storeOut, now = now)
         val predecessors = if (holders.values.all {
                 it.claimed || it.hasLapsed(now)
@@ -186,6 +195,15 @@
         put(record.copy(version = record.version.next(), members = members, predecessors = predecessors), now)
     }
 
+    /** Writes a record that came into force during an outage. */
+    private fun save() {
+        state = State.Writing
+        context.write(record) { saved, _ ->
+            unsaved = !saved
+            state = State.Steady
+        }
+    }
+
     /** Writes [next] ahead and then begins to put it into force; during an outage it is written later. */
     private fun put(next: OwnershipRecord, now: Moment) {
         if (context.isStoreOut(now)) {
@@ -226,9 +244,7 @@
     }
 
     private fun tickNow(now: Moment) {
-        for (holder in holders.values) {
-            effects.add(Effect.SendGrant(holder.address, holder.order(pool.name, term, record.members, now)))
-        }
+        for (holder in holders.values) send(holder, now)
         timers.at(now + settings.transition, ::advanceLater)
     }
 
@@ -237,6 +253,11 @@
         advance(now)
     }
 
+    private fun send(holder: HolderState, now: Moment) {
+        val confirmed = context.confirmedSince(now) != null
+        effects.add(Effect.SendGrant(holder.address, holder.order(pool.name, term, record.members, confirmed, now)))
+    }
+
     private fun noteReachable(holder: HolderState, isReachable: Boolean) {
         val changed = if (isReachable) reachable.add(holder.upstream) else reachable.remove(holder.upstream)
         if (changed) effects.add(Effect.StateChanged(StateChange.UpstreamReachable(holder.upstream, isReachable)))
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -33,7 +33,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** A running entry VM. */
 public class Gateway(private val settings: GatewaySettings) {
@@ -75,7 +75,7 @@
      * Stops without cutting off a request: first not ready, then duties are handed over, then the listening port
      * is closed and open requests are waited for, up to [limit]. Returns whether all of them were answered.
      */
-    public fun stop(limit: Duration, announce: Duration = 200.milliseconds): Boolean {
+    public fun stop(limit: Duration, announce: Duration = 1.seconds): Boolean {
         val end = System.nanoTime() + limit.inWholeNanoseconds
         loop.execute {
             registry.draining = true
