Measure the slopes of control with 'bin/bench capacity'

Cause: nothing said what each role costs at the users' size. Change: the bench runs fleets of 9, 30, 100 and 300 VMs without callers under virtual time, counts messages, bytes, processor time and store calls, fits lines and prints them at the target.

--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/Main.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/Main.kt
@@ -3,6 +3,7 @@
  */
 package cicadagauge.bench
 
+import cicadagauge.bench.capacity.CapacityExperiment
 import cicadagauge.bench.ownership.FaultsExperiment
 import cicadagauge.bench.ownership.OwnershipExperiment
 import kotlin.system.exitProcess
@@ -12,6 +13,7 @@
     val options = args.drop(1)
     val held = when (args.firstOrNull()) {
         "ownership" -> OwnershipExperiment(options).run()
+        "capacity" -> CapacityExperiment(options).run()
         "faults" -> FaultsExperiment(options).run()
         else -> {
             System.err.println("usage: bin/bench ownership|faults|capacity|path [OPTIONS]; see docs/MEASUREMENTS.md")
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/CapacityExperiment.kt
@@ -0,0 +1,138 @@
+package cicadagauge.bench.capacity
+
+import cicadagauge.bench.Options
+import cicadagauge.identity.Moment
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.RecordVersion
+import cicadagauge.identity.TenantName
+import cicadagauge.identity.Term
+import cicadagauge.identity.UpstreamId
+import cicadagauge.identity.VmId
+import cicadagauge.ownership.Member
+import cicadagauge.ownership.OwnershipRecord
+import cicadagauge.peer.PeerMessage
+import cicadagauge.routing.OwnerTable
+import cicadagauge.store.Json
+import cicadagauge.store.JsonRecordCodec
+import java.lang.management.ManagementFactory
+
+/** `bench capacity`: measures the slopes that docs/CAPACITY.md rests on and prints its table at the target size. */
+class CapacityExperiment(arguments: List<String>) {
+    private val options = Options(arguments, known = setOf("--sizes"))
+    private val sizes = (options.text("--sizes") ?: "9,30,100,300").split(',').map { it.trim().toInt() }
+
+    /** Prints the figures; always true, since it judges nothing. */
+    fun run(): Boolean {
+        ControlMeter(sizes.first()).measure()
+        val bySize = sizes.map { ControlMeter(it).measure() }.onEach { print("fleet", it) }
+        val byUpstreams = UPSTREAM_FACTORS.map { ControlMeter(FEW_VMS, upstreamFactor = it).measure() }.onEach { print("upstreams", it) }
+        val byTenants = TENANTS.map { ControlMeter(FEW_VMS, tenants = it).measure() }.onEach { print("tenants", it) }
+        val derive = derive()
+        print("derive", derive)
+        val codec = codec()
+        print("codec", codec)
+        rows(bySize, byUpstreams, byTenants, derive, codec).forEach { print("row", it) }
+        return true
+    }
+
+    private fun rows(
+        bySize: List<ControlCost>,
+        byUpstreams: List<ControlCost>,
+        byTenants: List<ControlCost>,
+        derive: DeriveCost,
+        codec: CodecCost,
+    ): List<Row> = listOf(
+        row("control bytes/s, mean VM, by VMs", bySize, TARGET_VMS, BYTES_BUDGET) { Point(it.vms.toDouble(), it.bytesPerVm) },
+        row("control bytes/s, dearest VM, by VMs", bySize, TARGET_VMS, BYTES_BUDGET) { Point(it.vms.toDouble(), it.bytesDearestVm) },
+        row("core share, mean VM, by VMs", bySize, TARGET_VMS, CORE_BUDGET) { Point(it.vms.toDouble(), it.coreShareMean) },
+        row("core share, dearest VM, by VMs", bySize, TARGET_VMS, CORE_BUDGET) { Point(it.vms.toDouble(), it.coreShareDearest) },
+        row("store calls/s, by VMs", bySize, TARGET_VMS, STORE_BUDGET) { Point(it.vms.toDouble(), it.storeCalls) },
+        row("ms until a declaration is in force, by VMs", bySize, TARGET_VMS, IN_FORCE_BUDGET) { Point(it.vms.toDouble(), it.inForceMillis) },
+        row("grant bytes/s, dearest VM, by upstreams", byUpstreams, TARGET_UPSTREAMS_PER_ALLOCATOR, BYTES_BUDGET) {
+            Point(it.upstreams.toDouble(), it.grantBytesDearestVm)
+        },
+        row("core share, dearest VM, by upstreams", byUpstreams, TARGET_UPSTREAMS_PER_ALLOCATOR, CORE_BUDGET) {
+            Point(it.upstreams.toDouble(), it.coreShareDearest)
+        },
+        row("control bytes/s, mean VM, by tenants", byTenants, TARGET_TENANTS, BYTES_BUDGET) { Point(it.tenants.toDouble(), it.bytesPerVm) },
+        Row("ms to derive 65536 slots x 1000 members", 0.0, derive.nanosPerPair, derive.nanosPerPair * LARGE_POOL / NANOS_PER_MILLI, DERIVE_BUDGET),
+        Row("record bytes at 1000 members", 0.0, codec.recordBytesPerMember, codec.recordBytesPerMember * MEMBERS, STORE_VALUE_BUDGET),
+    )
+
+    private fun row(name: String, costs: List<ControlCost>, target: Double, budget: Double, point: (ControlCost) -> Point): Row {
+        val slope = Slope.through(costs.map(point))
+        return Row(name, slope.fixed, slope.perUnit, slope.at(target), budget)
+    }
+
+    private fun derive(): DeriveCost {
+        val record = record(DERIVE_MEMBERS, DERIVE_SLOTS)
+        repeat(WARM_UPS) { OwnerTable(record) }
+        val begin = processorNanos()
+        repeat(WARM_UPS) { OwnerTable(record) }
+        val pairs = WARM_UPS.toDouble() * DERIVE_MEMBERS * DERIVE_SLOTS
+        return DeriveCost(DERIVE_SLOTS, DERIVE_MEMBERS, (processorNanos() - begin) / pairs)
+    }
+
+    private fun codec(): CodecCost {
+        val message = PeerMessage.BudgetRequest(TenantName("tenant-1"), 1, Moment(1), 10)
+        val writer = Json.mapper.writerFor(PeerMessage::class.java)
+        val reader = Json.mapper.readerFor(PeerMessage::class.java)
+        val turn = { reader.readValue<PeerMessage>(writer.writeValueAsBytes(message)) }
+        repeat(CODEC_TURNS) { turn() }
+        val begin = processorNanos()
+        repeat(CODEC_TURNS) { turn() }
+        val perMessage = (processorNanos() - begin).toDouble() / CODEC_TURNS
+        val few = JsonRecordCodec().encode(record(DERIVE_MEMBERS, 1)).length
+        val many = JsonRecordCodec().encode(record(DERIVE_MEMBERS * 2, 1)).length
+        return CodecCost(perMessage, (many - few).toDouble() / DERIVE_MEMBERS)
+    }
+
+    private fun record(members: Int, slots: Int) = OwnershipRecord(
+        pool = PoolName("pool"),
+        term = Term(1),
+        version = RecordVersion(1),
+        allocator = VmId("vm"),
+        slots = slots,
+        members = (0 until members).map { Member(UpstreamId("upstream-%05d".format(it))) },
+    )
+
+    private fun processorNanos(): Long = ManagementFactory.getThreadMXBean().currentThreadCpuTime
+
+    private fun print(kind: String, value: Any) = println(Json.mapper.writeValueAsString(Line(kind, value)))
+
+    private data class Line(val kind: String, val value: Any)
+
+    private data class DeriveCost(val slots: Int, val members: Int, val nanosPerPair: Double)
+
+    private data class CodecCost(val nanosPerMessage: Double, val recordBytesPerMember: Double)
+
+    private data class Row(val name: String, val fixed: Double, val perUnit: Double, val atTarget: Double, val budget: Double) {
+        val verdict: String = when {
+            atTarget <= budget / 2 -> "holds"
+            atTarget <= budget -> "tight"
+            else -> "fails"
+        }
+    }
+
+    private companion object {
+        const val FEW_VMS = 9
+        const val TARGET_VMS = 11_000.0
+        const val TARGET_UPSTREAMS_PER_ALLOCATOR = 1_000.0
+        const val TARGET_TENANTS = 1_000.0
+        const val BYTES_BUDGET = 16_384.0
+        const val CORE_BUDGET = 0.027
+        const val STORE_BUDGET = 2_000.0
+        const val IN_FORCE_BUDGET = 4_000.0
+        const val DERIVE_BUDGET = 100.0
+        const val STORE_VALUE_BUDGET = 1_048_576.0
+        const val MEMBERS = 1_000
+        const val LARGE_POOL = 65_536.0 * 1_000
+        const val NANOS_PER_MILLI = 1e6
+        const val DERIVE_MEMBERS = 200
+        const val DERIVE_SLOTS = 4_096
+        const val WARM_UPS = 30
+        const val CODEC_TURNS = 50_000
+        val UPSTREAM_FACTORS = listOf(1, 4, 12)
+        val TENANTS = listOf(8, 32, 128)
+    }
+}
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/ControlMeter.kt
@@ -0,0 +1,111 @@
+package cicadagauge.bench.capacity
+
+import cicadagauge.bench.virtual.FleetObserver
+import cicadagauge.bench.virtual.FleetTraits
+import cicadagauge.bench.virtual.VirtualFleet
+import cicadagauge.bench.virtual.VirtualVm
+import cicadagauge.node.StateChange
+import cicadagauge.ownership.GrantOrder
+import cicadagauge.peer.PeerMessage
+import cicadagauge.standins.deployment.DeploymentShape
+import cicadagauge.standins.deployment.PoolShape
+import cicadagauge.store.Json
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** What control costs in one fleet, per second; figures of single VMs are means, with the dearest VM beside. */
+data class ControlCost(
+    val vms: Int,
+    val upstreams: Int,
+    val tenants: Int,
+    val messagesPerVm: Double,
+    val bytesPerVm: Double,
+    val bytesDearestVm: Double,
+    val grantBytesDearestVm: Double,
+    val coreShareMean: Double,
+    val coreShareDearest: Double,
+    val storeCalls: Double,
+    val inForceMillis: Double,
+    val bytesByKind: Map<String, Double>,
+)
+
+/** Runs a fleet without callers and counts what control sends and computes. */
+class ControlMeter(private val vms: Int, private val upstreamFactor: Int = 1, private val tenants: Int = TENANTS) : FleetObserver {
+    private val bytes = HashMap<VirtualVm, Long>()
+    private val grantBytes = HashMap<VirtualVm, Long>()
+    private val kinds = sortedMapOf<String, Long>()
+    private val inForce = HashMap<Long, ArrayList<Long>>()
+    private var messages = 0L
+    private var measuring = false
+
+    override fun said(fleet: VirtualFleet, vm: VirtualVm, message: PeerMessage) {
+        if (!measuring) return
+        val size = PEER_WRITER.writeValueAsBytes(message).size + HTTP_OVERHEAD
+        messages++
+        bytes.merge(vm, size.toLong(), Long::plus)
+        kinds.merge(message::class.java.simpleName, size.toLong(), Long::plus)
+    }
+
+    override fun ordered(fleet: VirtualFleet, vm: VirtualVm, order: GrantOrder) {
+        if (!measuring) return
+        val size = GRANT_WRITER.writeValueAsBytes(order).size + HTTP_OVERHEAD
+        grantBytes.merge(vm, size.toLong(), Long::plus)
+    }
+
+    override fun changed(fleet: VirtualFleet, vm: VirtualVm, change: StateChange) {
+        if (change is StateChange.DeclarationInForce) inForce.getOrPut(change.version.value) { ArrayList() } += fleet.time.now
+    }
+
+    /** Runs the fleet and returns what control costs. */
+    fun measure(): ControlCost {
+        val shape = DeploymentShape.HOSHIZORA
+        val pools = shape.pools.map { PoolShape(it.name, it.instances * upstreamFactor, it.keyed) }
+        val rates = List(tenants) { RATE }
+        val fleet = VirtualFleet(FleetTraits(shape.copy(pools = pools, tenantRates = rates, entryVms = vms), vms), this).start()
+        fleet.time.run(SETTLING)
+        measuring = true
+        val callsBefore = fleet.store.model.calls
+        val processorBefore = fleet.vms.associateWith { it.processorNanos }
+        fleet.time.run(LENGTH)
+        measuring = false
+        val seconds = LENGTH.toDouble(DurationUnit.SECONDS)
+        val processor = fleet.vms.map { (it.processorNanos - processorBefore.getValue(it)) / NANOS / seconds }
+        val calls = (fleet.store.model.calls - callsBefore) / seconds
+        return ControlCost(
+            vms = vms,
+            upstreams = pools.sumOf { it.instances },
+            tenants = tenants,
+            messagesPerVm = messages / seconds / vms,
+            bytesPerVm = bytes.values.sum() / seconds / vms,
+            bytesDearestVm = (bytes.values.maxOrNull() ?: 0) / seconds,
+            grantBytesDearestVm = (grantBytes.values.maxOrNull() ?: 0) / seconds,
+            coreShareMean = processor.average(),
+            coreShareDearest = processor.max(),
+            storeCalls = calls,
+            inForceMillis = applied(fleet),
+            bytesByKind = kinds.mapValues { it.value / seconds / vms },
+        )
+    }
+
+    /** How long an accepted declaration takes until it is in force on every VM. */
+    private fun applied(fleet: VirtualFleet): Double {
+        val begin = fleet.time.now
+        fleet.apply(fleet.declaration, version = 2)
+        fleet.time.run(SPREADING)
+        val moments = inForce[2].orEmpty()
+        return if (moments.size < vms) Double.POSITIVE_INFINITY else (moments.max() - begin) / NANOS_PER_MILLI
+    }
+
+    private companion object {
+        const val TENANTS = 8
+        const val RATE = 500.0
+        const val HTTP_OVERHEAD = 60
+        const val NANOS = 1e9
+        const val NANOS_PER_MILLI = 1e6
+        val SETTLING = 12.seconds
+        val LENGTH = 10.seconds
+        val SPREADING = 10.seconds
+        val PEER_WRITER = Json.mapper.writerFor(PeerMessage::class.java)
+        val GRANT_WRITER = Json.mapper.writerFor(GrantOrder::class.java)
+    }
+}
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -22,7 +22,9 @@
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
 import cicadagauge.outcome.Refusal
+import cicadagauge.ownership.GrantOrder
 import cicadagauge.ownership.GrantReport
+import cicadagauge.peer.PeerMessage
 import cicadagauge.standins.deployment.DeploymentShape
 import cicadagauge.standins.upstream.UpstreamTraits
 import cicadagauge.store.JsonDeclarationCodec
@@ -61,6 +63,12 @@
 
 /** Learns what the fleet does. */
 interface FleetObserver {
+    /** [vm] sends a message to a peer. */
+    fun said(fleet: VirtualFleet, vm: VirtualVm, message: PeerMessage) = Unit
+
+    /** [vm] sends a grant order. */
+    fun ordered(fleet: VirtualFleet, vm: VirtualVm, order: GrantOrder) = Unit
+
     /** A grant order was handled by an upstream, which gave [report]. */
     fun granted(fleet: VirtualFleet, report: GrantReport) = Unit
 
@@ -77,6 +85,7 @@
     private val waiting = HashMap<Pair<VmId, RequestId>, (RequestResult) -> Unit>()
     private var lastRequest = 0L
     private var lastVm = 0
+    private val running = HashMap<VmId, VirtualVm>()
     private val shown = ArrayDeque<ShownList>()
 
     val time = VirtualTime()
@@ -126,6 +135,7 @@
         val settings = traits.node(VmId("vm-%03d".format(number)), AvailabilityZone(zones[number % zones.size]))
         val vm = VirtualVm(settings, time, newClock(), ::carryOut)
         vms += vm
+        running[vm.id] = vm
         vm.submit(Event.Started)
         poll(vm)
         return vm
@@ -135,6 +145,7 @@
     fun crash(vm: VirtualVm) {
         vm.crash()
         vms -= vm
+        running -= vm.id
         list()
     }
 
@@ -177,11 +188,13 @@
     }
 
     private fun sendPeer(vm: VirtualVm, effect: Effect.SendPeer) {
-        val peer = vms.firstOrNull { it.id == effect.to } ?: return
+        observer.said(this, vm, effect.message)
+        val peer = running[effect.to] ?: return
         network.send(vm.site, peer.site) { peer.submit(Event.PeerSaid(vm.id, effect.message)) }
     }
 
     private fun sendGrant(vm: VirtualVm, effect: Effect.SendGrant) {
+        observer.ordered(this, vm, effect.order)
         val upstream = upstreams.getValue(effect.order.upstream)
         network.send(vm.site, upstream.site) {
             upstream.grant(effect.order) { report ->
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudgets.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudgets.kt
@@ -93,7 +93,7 @@
 
     private fun ask(account: Account, now: Moment) {
         if (!account.budget.wantsRequest(account.waiting.size, now)) return
-        val keeper = vms.ranked("budget/${account.tenant}").firstOrNull() ?: return
+        val keeper = vms.responsible(account.duty) ?: return
         val request = account.budget.request(keeper.id, account.waiting.size, now)
         if (keeper.id == vms.self) {
             keep(vms.self, request, now)?.let { replied(vms.self, it, now) }
@@ -106,6 +106,7 @@
     private inner class Account(val tenant: TenantName, portion: Portion) {
         val budget = TenantBudget(tenant, portion, settings, seats::seated, start)
         val waiting = ArrayDeque<Waiter>()
+        val duty = "budget/$tenant"
 
         /** Admits as many waiting requests as there are tokens for, and refuses the others. */
         fun settle(now: Moment) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -182,7 +182,7 @@
         if (settings.homes == HomePolicy.Local) return vms.self
         val owner = request.slot?.let { owners[request.pool.name]?.ownerOf(it) }
         val duty = if (owner == null) "home/${request.pool.name}" else homeDuties.getOrPut(owner) { "home/$owner" }
-        return vms.ranked(duty).firstOrNull()?.id ?: vms.self
+        return vms.responsible(duty)?.id ?: vms.self
     }
 
     private fun forward(request: PendingRequest, home: VmId, upstream: UpstreamId, now: Moment) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
@@ -20,7 +20,9 @@
     private val departing = HashSet<VmId>()
     private val seen = LinkedHashSet<VmId>()
     private val heard = HashMap<VmId, Moment>()
-    private var rankings = HashMap<String, List<Vm>>()
+    private val rankings = HashMap<String, List<Vm>>()
+    private val responsible = HashMap<String, Vm>()
+    private var lastList: List<Vm> = emptyList()
 
     /** All listed VMs in the order of their ids. */
     var all: List<Vm> = emptyList()
@@ -56,41 +58,48 @@
     /** The VM called [id], or null where it is not listed. */
     fun vm(id: VmId): Vm? = vms[id]
 
-    /** Takes the platform's list over. */
+    /** Takes the platform's list over; a list that says nothing new costs next to nothing. */
     fun update(list: List<Vm>, now: Moment) {
-        vms = list.associateBy { it.id }
-        if (self !in vms) selfListedSince = Moment.FUTURE else selfListedSince = minOf(selfListedSince, now)
-        departing.retainAll(vms.keys)
         updatedAt = now
-        seen += vms.keys
-        while (seen.size > MAX_SEEN) seen.remove(seen.first())
+        if (list == lastList) return
+        lastList = list
+        vms = list.associateBy { it.id }
+        selfListedSince = if (self in vms) minOf(selfListedSince, now) else Moment.FUTURE
         all = list.sortedBy { it.id }
         peers = all.filter { it.id != self }
+        departing.retainAll(vms.keys)
         suspects.keys.retainAll(vms.keys)
         heard.keys.retainAll(vms.keys)
-        rankings.clear()
+        seen += vms.keys
+        while (seen.size > MAX_SEEN) seen.remove(seen.first())
+        forgetRankings()
+    }
+
+    /** The VM that is responsible for [duty], or null before a list was received. */
+    fun responsible(duty: String): Vm? = responsible.getOrPut(duty) {
+        all.minWithOrNull(compareBy({ isLast(it) }, { score(duty, it.id) })) ?: return null
     }
 
     /** The VMs in the order in which they are responsible for [duty]: leaving and suspected ones last. */
     fun ranked(duty: String): List<Vm> = rankings.getOrPut(duty) {
-        val scored = all.map { Ranked(it, it.leaving || it.id in departing || it.id in suspects, score(duty, it.id)) }
+        val scored = all.map { Ranked(it, isLast(it), score(duty, it.id)) }
         scored.sortedWith(compareBy({ it.last }, { it.score })).map { it.vm }
     }
 
     /** Ranks [vm] last from now on, because it has said that it stops. */
     fun depart(vm: VmId) {
-        if (departing.add(vm)) rankings.clear()
+        if (departing.add(vm)) forgetRankings()
     }
 
     /** Ranks [vm] last until [until], because it doesn't answer. */
     fun suspect(vm: VmId, until: Moment) {
         if (vm == self) return
-        if (suspects.put(vm, until) == null) rankings.clear()
+        if (suspects.put(vm, until) == null) forgetRankings()
     }
 
     /** Ends suspicions that have run out at [now]. */
     fun forgive(now: Moment) {
-        if (suspects.values.removeIf { it <= now }) rankings.clear()
+        if (suspects.values.removeIf { it <= now }) forgetRankings()
     }
 
     /** When [vm] last said something. */
@@ -99,7 +108,7 @@
     /** Notes that [vm] has said something at [now]. */
     fun heard(vm: VmId, now: Moment) {
         if (vm in vms) heard[vm] = now
-        if (suspects.remove(vm) != null) rankings.clear()
+        if (suspects.remove(vm) != null) forgetRankings()
     }
 
     /** Sends [message] to [vm]. */
@@ -107,6 +116,13 @@
         effects.add(Effect.SendPeer(vm.id, vm.address, message))
     }
 
+    private fun isLast(vm: Vm): Boolean = vm.leaving || vm.id in departing || vm.id in suspects
+
+    private fun forgetRankings() {
+        rankings.clear()
+        responsible.clear()
+    }
+
     private fun score(duty: String, vm: VmId): Long = Hashing.xxh3_64().hashCharsToLong("$duty|${vm.value}")
 
     private companion object {
