Notice home VMs that stand still

Change: a VM that relays to a home and hears nothing from it for 50 ms asks for a sign of life, and takes other VMs for home once 200 ms have passed without one. Conclusion: requests that were already with the paused home still wait for their deadline; cancelling and sending the idempotent ones again is open.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -90,6 +90,12 @@
      */
     public data class OutagePromise(val pool: PoolName, val term: Term, val sequence: Long) : PeerMessage
 
+    /** Asks the receiver for a sign of life. */
+    public data object Ping : PeerMessage
+
+    /** The sign of life that was asked for. */
+    public data object Pong : PeerMessage
+
     /** The sender is about to stop and gives its roles up. */
     public data object Leaving : PeerMessage
 
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/ControlMeter.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/ControlMeter.kt
@@ -26,6 +26,7 @@
     val coreShareDearest: Double,
     val storeCalls: Double,
     val inForceMillis: Double,
+    val heapBytesPerVm: Double,
     val bytesByKind: Map<String, Double>,
 )
 
@@ -90,10 +91,17 @@
             coreShareDearest = processor.max(),
             storeCalls = calls,
             inForceMillis = applied(fleet),
+            heapBytesPerVm = heap() / vms,
             bytesByKind = kinds.mapValues { it.value / seconds / vms },
         )
     }
 
+    /** The heap in use after a collection; it holds the whole fleet, stand-ins included. */
+    private fun heap(): Double {
+        System.gc()
+        return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()).toDouble()
+    }
+
     /** How long an accepted declaration takes until it is in force on every VM. */
     private fun applied(fleet: VirtualFleet): Double {
         val begin = fleet.time.now
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -62,6 +62,8 @@
                 PeerMessage.Denied(pool, RequestId(9), Refusal(Reason.Overloaded, "full")),
                 PeerMessage.Release(pool, RequestId(9), PlaceResult.Served, 7.milliseconds),
                 PeerMessage.Holding(pool, setOf(RequestId(9))),
+                PeerMessage.Ping,
+                PeerMessage.Pong,
                 PeerMessage.Leaving,
                 PeerMessage.OutageQuery(pool, Term(3), 8),
                 PeerMessage.OutagePromise(pool, Term(3), 8),
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -45,6 +45,7 @@
     private val homeDuties = HashMap<UpstreamId?, String>()
     private val retries = RetryBudget(settings)
     private val places = HashMap<PlaceGiver, Moment>()
+    private val homes = HomeWatch(vms, settings)
     private var sweeping = false
 
     /** How many requests are accepted and not yet answered. */
@@ -56,6 +57,12 @@
         timers.at(now + settings.holding, ::start)
     }
 
+    /** Begins to watch the homes that requests are relayed to. */
+    fun watchHomes(now: Moment) {
+        homes.tick(now)
+        timers.at(now + settings.homePing, ::watchHomes)
+    }
+
     /** Takes the pools of [declaration] over. */
     fun configure(declaration: Declaration, now: Moment) {
         upstreams.clear()
@@ -111,8 +118,15 @@
     ) {
         request.state = PendingRequest.State.Idle
         when (outcome) {
-            is AttemptOutcome.Answered, AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
-            is AttemptOutcome.Refused -> refuse(request, outcome.refusal, now)
+            is AttemptOutcome.Answered -> {
+                vms.heard(state.home, now)
+                requests -= request.id
+            }
+            AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
+            is AttemptOutcome.Refused -> {
+                vms.heard(state.home, now)
+                refuse(request, outcome.refusal, now)
+            }
             is AttemptOutcome.NotRun -> {
                 if (outcome.cause == NotRunCause.Unreachable) vms.suspect(state.home, now + settings.homeSuspicion)
                 notRun(request, outcome, now)
@@ -249,6 +263,7 @@
         waiting -= request
         request.attempts++
         request.state = PendingRequest.State.Relayed(home.id)
+        homes.relayed(home.id, now)
         val relayed = RelayedRequest(
             pool = request.pool.name,
             slot = request.slot,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -99,6 +99,7 @@
         disseminator.start(now)
         budgets.start(now)
         dispatcher.start(now)
+        dispatcher.watchHomes(now)
         forgive(now)
     }
 
@@ -133,6 +134,8 @@
             is PeerMessage.RecordUpdate -> learn(message.record, from, now)
             is PeerMessage.DeclarationUpdate -> learnDeclaration(message.text, from, now)
             is PeerMessage.Digest -> disseminator.compare(from, message)
+            PeerMessage.Ping -> vms.vm(from)?.let { vms.send(it, PeerMessage.Pong) }
+            PeerMessage.Pong -> Unit
             PeerMessage.Leaving -> left(from, now)
             is PeerMessage.OutageQuery -> duties.promise(from, message, now)
             is PeerMessage.OutagePromise -> duties.promised(from, message)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -77,6 +77,8 @@
     val holdingMemory: Duration = 5.seconds,
     val homeSilence: Duration = 40.milliseconds,
     val homeTries: Int = 3,
+    val homePing: Duration = 50.milliseconds,
+    val homePingSilence: Duration = 200.milliseconds,
     val homeSuspicion: Duration = 1.seconds,
     val backoff: Duration = 20.milliseconds,
     val maxBackoff: Duration = 160.milliseconds,
