Split a pool's duty out of DutyManager, and add 'bin/bench path'

Change: PoolDuty holds one pool's duty, DutyManager only routes to the duties; no behaviour changes. 'bin/bench path' sends the same requests straight to a stand-in, through a bare Netty relay and through one entry VM, in one run.

--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/Main.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/Main.kt
@@ -7,6 +7,7 @@
 import cicadagauge.bench.outcomes.OutcomesExperiment
 import cicadagauge.bench.ownership.FaultsExperiment
 import cicadagauge.bench.ownership.OwnershipExperiment
+import cicadagauge.bench.path.PathExperiment
 import kotlin.system.exitProcess
 
 /** Runs the experiment that [args] name; exits non-zero where a promise broke. */
@@ -15,6 +16,7 @@
     val held = when (args.firstOrNull()) {
         "ownership" -> OwnershipExperiment(options).run()
         "capacity" -> CapacityExperiment(options).run()
+        "path" -> PathExperiment(options).run()
         "outcomes" -> OutcomesExperiment(options).run()
         "faults" -> FaultsExperiment(options).run()
         else -> {
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/ControlMeter.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/ControlMeter.kt
@@ -97,6 +97,7 @@
     }
 
     /** The heap in use after a collection; it holds the whole fleet, stand-ins included. */
+    @Suppress("ExplicitGarbageCollectionCall")
     private fun heap(): Double {
         System.gc()
         return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()).toDouble()
--- /dev/null
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/path/BareRelay.kt
@@ -0,0 +1,96 @@
+package cicadagauge.bench.path
+
+import cicadagauge.identity.Address
+import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.util.ReferenceCountUtil
+import java.net.InetSocketAddress
+
+/**
+ * The least that a relay on Netty's HTTP codec can do: each caller's connection has one of its own to [target], and
+ * every message goes through unread.
+ */
+class BareRelay(private val group: EventLoopGroup, private val target: Address) {
+    private var listener: Channel? = null
+
+    /** Where the relay listens. */
+    val address: Address get() = Address("127.0.0.1", (listener?.localAddress() as InetSocketAddress).port)
+
+    /** Binds any free port. */
+    fun start(): BareRelay {
+        listener = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childHandler(
+                object : ChannelInitializer<Channel>() {
+                    override fun initChannel(channel: Channel) {
+                        channel.pipeline().addLast(HttpServerCodec(), Front())
+                    }
+                },
+            )
+            .bind("127.0.0.1", 0).sync().channel()
+        return this
+    }
+
+    /** Stops listening. */
+    fun close() {
+        listener?.close()
+    }
+
+    private inner class Front : ChannelInboundHandlerAdapter() {
+        private var back: Channel? = null
+
+        override fun channelActive(context: ChannelHandlerContext) {
+            val bootstrap = Bootstrap().group(context.channel().eventLoop()).channel(NioSocketChannel::class.java)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(
+                    object : ChannelInitializer<Channel>() {
+                        override fun initChannel(channel: Channel) {
+                            channel.pipeline().addLast(HttpClientCodec(), Back(context.channel()))
+                        }
+                    },
+                )
+            bootstrap.connect(target.host, target.port).addListener { result ->
+                back = (result as ChannelFuture).channel()
+                context.channel().config().isAutoRead = true
+            }
+        }
+
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            back?.write(message) ?: ReferenceCountUtil.release(message)
+        }
+
+        override fun channelReadComplete(context: ChannelHandlerContext) {
+            back?.flush()
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            back?.close()
+        }
+    }
+
+    private class Back(private val front: Channel) : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            front.write(message)
+        }
+
+        override fun channelReadComplete(context: ChannelHandlerContext) {
+            front.flush()
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            front.close()
+        }
+    }
+}
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -14,6 +14,7 @@
 import cicadagauge.membership.VmDirectory
 import cicadagauge.membership.Watchers
 import cicadagauge.ownership.DutyManager
+import cicadagauge.ownership.DutySurroundings
 import cicadagauge.ownership.OwnershipRecord
 import cicadagauge.peer.PeerMessage
 import cicadagauge.routing.OwnerDirectory
@@ -45,15 +46,17 @@
     private val declarations = DeclarationHolder(declarationCodec, effects, ::configure)
     private val disseminator = Disseminator(vms, declarations, owners, settings.dissemination, timers)
     private val duties = DutyManager(
-        vms = vms,
-        watchers = watchers,
-        store = store,
-        codec = recordCodec,
-        settings = settings.ownership,
-        timers = timers,
-        effects = effects,
-        publisher = { record, now -> learn(record, source = null, now = now) },
-        owners = owners,
+        DutySurroundings(
+            vms = vms,
+            watchers = watchers,
+            store = store,
+            codec = recordCodec,
+            settings = settings.ownership,
+            timers = timers,
+            effects = effects,
+            publisher = { record, now -> learn(record, source = null, now = now) },
+            owners = owners,
+        ),
     )
     private val watcher = StoreWatcher(store, watchers, settings.dissemination, timers, Listener())
     private var wakeAt = Moment.FUTURE
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -1,68 +1,61 @@
 /*
- * Takes, keeps and hands over the duty of allocating keyed pools. A duty is a key in the platform store under this
- * VM's lease; the term rises with the compare-and-swap that writes the pool's record. A VM that loses sight of the
- * store keeps renewing what it granted: a higher term stops it at each upstream that the new holder reaches.
+ * The duties of one VM: which pools it allocates, and what others tell it of theirs.
  */
 package cicadagauge.ownership
 
 import cicadagauge.declaration.Declaration
-import cicadagauge.declaration.Pool
 import cicadagauge.identity.Moment
 import cicadagauge.identity.PoolName
-import cicadagauge.identity.RecordVersion
-import cicadagauge.identity.Term
 import cicadagauge.identity.VmId
 import cicadagauge.membership.VmDirectory
 import cicadagauge.membership.Watchers
 import cicadagauge.node.Effect
 import cicadagauge.node.Effects
 import cicadagauge.node.OwnershipSettings
-import cicadagauge.node.StateChange
 import cicadagauge.node.Timers
 import cicadagauge.peer.PeerMessage
 import cicadagauge.routing.OwnerDirectory
 import cicadagauge.store.RecordCodec
-import cicadagauge.store.StoreCall
 import cicadagauge.store.StoreClient
-import cicadagauge.store.StoreEntry
-import cicadagauge.store.StoreKey
-import cicadagauge.store.StoreKeys
-import cicadagauge.store.StoreReply
 import cicadagauge.store.StoreRevision
 
+/** What all duties of one VM share. */
+internal class DutySurroundings(
+    val vms: VmDirectory,
+    val watchers: Watchers,
+    val store: StoreClient,
+    val codec: RecordCodec,
+    val settings: OwnershipSettings,
+    val timers: Timers,
+    val effects: Effects,
+    val publisher: RecordPublisher,
+    val owners: OwnerDirectory,
+)
+
 /** Tells the fleet of a record that has come into force. */
 internal fun interface RecordPublisher {
     fun publish(record: OwnershipRecord, now: Moment)
 }
 
 /** The duties of one VM. */
-internal class DutyManager(
-    private val vms: VmDirectory,
-    private val watchers: Watchers,
-    private val store: StoreClient,
-    private val codec: RecordCodec,
-    private val settings: OwnershipSettings,
-    private val timers: Timers,
-    private val effects: Effects,
-    private val publisher: RecordPublisher,
-    private val owners: OwnerDirectory,
-) {
-    private val lease = DutyLease(store, timers, settings, ::leaseLapsed)
-    private val duties = HashMap<PoolName, Duty>()
-    private var declaration: Declaration? = null
+internal class DutyManager(private val surroundings: DutySurroundings) {
+    private val vms = surroundings.vms
+    private val lease = DutyLease(surroundings.store, surroundings.timers, surroundings.settings, ::leaseLapsed)
+    private val duties = LinkedHashMap<PoolName, PoolDuty>()
     private var stopping = false
-    private var handovers = 0
 
     /** The pools that this VM allocates now. */
-    val held: List<PoolName> get() = duties.values.filter { it.allocator != null }.map { it.pool.name }
+    val held: List<PoolName> get() = duties.filterValues { it.allocator != null }.keys.toList()
 
     /** Takes the keyed pools of [newDeclaration] over. */
     fun configure(newDeclaration: Declaration, now: Moment) {
-        declaration = newDeclaration
         val keyed = newDeclaration.pools.filter { it.keyed }
         val gone = duties.keys - keyed.map { it.name }.toSet()
         gone.forEach { name -> duties.remove(name)?.giveUp(now) }
-        keyed.forEach { pool -> duties.getOrPut(pool.name) { Duty(pool, now) }.configure(pool, newDeclaration) }
+        for (pool in keyed) {
+            duties.getOrPut(pool.name) { PoolDuty(pool, newDeclaration, surroundings, lease, now) }
+                .configure(pool, newDeclaration)
+        }
         considerAll(now)
     }
 
@@ -113,295 +106,17 @@
     fun stop(now: Moment) {
         if (stopping) return
         stopping = true
-        duties.values.filter { it.allocator != null }.forEach { it.handOver(now) }
-        finishStop()
+        var open = duties.size
+        if (open == 0) return finishStop()
+        duties.values.forEach { duty -> duty.handOver(now) { if (--open == 0) finishStop() } }
     }
 
     private fun finishStop() {
-        if (handovers > 0) return
         lease.drop()
-        effects.add(Effect.DutiesHandedOver)
+        surroundings.effects.add(Effect.DutiesHandedOver)
     }
 
     private fun leaseLapsed(now: Moment) {
         duties.values.forEach { it.keyLapsed(now) }
     }
-
-    /** One pool's duty, as this VM sees it. */
-    private inner class Duty(var pool: Pool, since: Moment) : AllocatorContext {
-        private val dutyKey = StoreKey(StoreKeys.DUTIES + pool.name)
-        private val recordKey = StoreKey(StoreKeys.RECORDS + pool.name)
-        private var vacantSince: Moment? = since
-        private var seenRevision = StoreRevision.ABSENT
-        private var busy = false
-        private var attempted = false
-        private var isOwnKey = false
-        private var keyRevision = StoreRevision.ABSENT
-        private var recordRevision = StoreRevision.ABSENT
-        private var heldSince: Moment? = null
-        private var promisedUntil = Moment.PAST
-        private var askedAt = Moment.PAST
-        val witness = OutageWitness(pool.name, vms, settings)
-        var allocator: PoolAllocator? = null
-
-        fun configure(newPool: Pool, newDeclaration: Declaration) {
-            pool = newPool
-            allocator?.configure(newPool, newDeclaration)
-        }
-
-        /** Takes news of the key's holder; news that is older than what is known changes nothing. */
-        fun holderChanged(holder: VmId?, revision: StoreRevision, now: Moment) {
-            if (revision <= seenRevision) return
-            seenRevision = revision
-            if (holder == null) vacantSince = vacantSince ?: now else vacantSince = null
-            if (holder != null && holder != vms.self && allocator != null) lost(now)
-            isOwnKey = holder == vms.self && attempted
-            if (holder == null && allocator != null) keyLapsed(now) else consider(now)
-        }
-
-        fun mayPromise(term: Term, now: Moment): Boolean {
-            val own = allocator
-            return !busy && (own == null || own.term < term) && isStoreOut(now)
-        }
-
-        fun promise(now: Moment) {
-            promisedUntil = maxOf(promisedUntil, now + settings.outagePromise)
-        }
-
-        /** Takes the duty if it is vacant and every VM that ranks before this one has had its chance. */
-        fun consider(now: Moment) {
-            if (stopping || busy || allocator != null || !vms.isListed()) return
-            if (isOwnKey) return resume(now)
-            val since = vacantSince ?: return
-            val rank = rank()
-            if (rank < 0) return
-            val due = maxOf(since + settings.standbyStagger * rank, promisedUntil, knownLongEnough())
-            if (now < due) return timers.at(due, ::consider)
-            lease.want(now)
-            if (lease.id == null) return timers.at(now + settings.storeRetry, ::consider)
-            busy = true
-            attempted = true
-            takeKey(now)
-        }
-
-        /** The key is this VM's by a write whose answer was lost. */
-        private fun resume(now: Moment) {
-            busy = true
-            keyTaken(seenRevision, now)
-        }
-
-        private fun rank(): Int {
-            val eligible = watchers.eligible()
-            return vms.ranked(dutyKey.value).filter { it.id in eligible }.indexOfFirst { it.id == vms.self }
-        }
-
-        /**
-         * From when every VM that might be the allocator has this one on its list, and counts on its promise; at
-         * once where the last known allocator is gone.
-         */
-        private fun knownLongEnough(): Moment {
-            val last = owners[pool.name]?.record?.allocator ?: return Moment.PAST
-            val atRisk = last != vms.self && vms.isListed(last)
-            return if (atRisk) vms.selfListedSince + settings.outagePromise * 2 else Moment.PAST
-        }
-
-        /** Puts the key under this VM's lease; it is there already where an answer was lost. */
-        private fun takeKey(now: Moment) {
-            val id = lease.id
-            if (stopping || id == null) return release(now)
-            store.call(StoreCall.Put(dutyKey, vms.self.value, StoreRevision.ABSENT, id)) { reply, moment ->
-                when (reply) {
-                    is StoreReply.Written -> keyTaken(reply.revision, moment)
-                    is StoreReply.Conflict -> keyHeld(reply.current, moment)
-                    else -> release(moment)
-                }
-            }
-        }
-
-        private fun keyHeld(current: StoreEntry, now: Moment) {
-            if (current.value == vms.self.value) return keyTaken(current.revision, now)
-            holderChanged(current.value?.let(::VmId), current.revision, now)
-            release(now)
-        }
-
-        private fun keyTaken(revision: StoreRevision, now: Moment) {
-            keyRevision = revision
-            seenRevision = maxOf(seenRevision, revision)
-            vacantSince = null
-            isOwnKey = true
-            raiseTerm(now)
-        }
-
-        /** Ends an attempt to take the duty; another follows where it is still vacant. */
-        private fun release(now: Moment) {
-            busy = false
-            timers.at(now + settings.storeRetry, ::consider)
-        }
-
-        /** Raises the term, or finds that this VM still holds the one it had before its lease lapsed. */
-        private fun raiseTerm(now: Moment) {
-            if (now >= lease.validUntil) return abandon(now)
-            store.call(StoreCall.Get(recordKey)) { reply, moment ->
-                if (reply !is StoreReply.Found) return@call timers.at(moment + settings.storeRetry, ::raiseTerm)
-                val stored = reply.entry.value?.let { codec.decode(it).getOrNull() }
-                val own = allocator
-                when {
-                    reply.entry.value != null && stored == null -> abandon(moment)
-                    own == null -> writeTerm(stored?.let(::successor) ?: firstRecord(), reply.entry.revision)
-                    stored?.term == own.term -> regained(reply.entry.revision, moment)
-                    else -> {
-                        lost(moment)
-                        abandon(moment)
-                    }
-                }
-            }
-        }
-
-        private fun regained(revision: StoreRevision, now: Moment) {
-            busy = false
-            recordRevision = revision
-            heldSince = now
-        }
-
-        private fun writeTerm(record: OwnershipRecord, expect: StoreRevision) {
-            store.call(StoreCall.Put(recordKey, codec.encode(record), expect)) { reply, moment ->
-                if (reply is StoreReply.Written) begin(record, reply.revision, moment) else raiseTerm(moment)
-            }
-        }
-
-        private fun begin(record: OwnershipRecord, revision: StoreRevision, now: Moment) {
-            if (now >= lease.validUntil) return abandon(now)
-            busy = false
-            recordRevision = revision
-            heldSince = now
-            val known = declaration ?: return
-            effects.add(Effect.StateChanged(StateChange.DutyTaken(pool.name, record.term)))
-            allocator = PoolAllocator(pool, known, record, vms, settings, timers, effects, context = this, start = now)
-        }
-
-        private fun firstRecord(): OwnershipRecord = OwnershipRecord(
-            pool = pool.name,
-            term = Term.NONE.next(),
-            version = RecordVersion.NONE.next(),
-            allocator = vms.self,
-            slots = pool.slots,
-            members = pool.upstreams.map { upstream ->
-                Member(upstream.id, if (declaration?.isOut(upstream) == true) Member.NO_SHARE else Member.FULL_SHARE)
-            },
-        )
-
-        private fun successor(record: OwnershipRecord): OwnershipRecord = record.copy(
-            term = record.term.next(),
-            version = record.version.next(),
-            allocator = vms.self,
-            predecessors = record.predecessors + record.allocator,
-        )
-
-        /** The key is this VM's, but its lease has run out: it will be taken anew once the store has dropped it. */
-        private fun abandon(now: Moment) {
-            busy = false
-            isOwnKey = false
-            heldSince = null
-            vacantSince = now
-            timers.at(now + settings.dutyLease, ::consider)
-        }
-
-        /** The store has dropped the key with its lease: take it anew, unless another VM has. */
-        fun keyLapsed(now: Moment) {
-            heldSince = null
-            if (allocator == null || busy) return
-            busy = true
-            retake(now)
-        }
-
-        private fun retake(now: Moment) {
-            if (allocator == null || stopping) return release(now)
-            if (lease.id == null) return timers.at(now + settings.storeRetry, ::retake)
-            store.call(StoreCall.Put(dutyKey, vms.self.value, StoreRevision.ABSENT, lease.id)) { reply, moment ->
-                val current = (reply as? StoreReply.Conflict)?.current
-                when {
-                    reply is StoreReply.Written -> keyTaken(reply.revision, moment)
-                    current == null -> timers.at(moment + settings.storeRetry, ::retake)
-                    current.value != vms.self.value -> {
-                        lost(moment)
-                        keyHeld(current, moment)
-                    }
-                    current.revision > keyRevision -> keyTaken(current.revision, moment)
-                    else -> timers.at(moment + settings.storeRetry, ::retake)
-                }
-            }
-        }
-
-        override fun confirmedSince(now: Moment): Moment? {
-            val term = allocator?.term
-            if (now < lease.validUntil && !busy) return heldSince
-            if (term == null || !isStoreOut(now)) return null
-            if (now >= askedAt + settings.renewal) {
-                askedAt = now
-                witness.ask(term, now)
-            }
-            return witness.certainSince(now)
-        }
-
-        override fun isStoreOut(now: Moment): Boolean = store.lastAnswer + settings.storeOut < now
-
-        override fun write(record: OwnershipRecord, then: (saved: Boolean, now: Moment) -> Unit) {
-            store.call(StoreCall.Put(recordKey, codec.encode(record), recordRevision)) { reply, now ->
-                when (reply) {
-                    is StoreReply.Written -> {
-                        recordRevision = reply.revision
-                        then(true, now)
-                    }
-                    is StoreReply.Conflict -> conflict(record, reply, then, now)
-                    else -> writeAgain(record, then, now)
-                }
-            }
-        }
-
-        /** The key moved on: by an own write whose answer was lost, or by the holder of a higher term. */
-        private fun conflict(
-            record: OwnershipRecord,
-            reply: StoreReply.Conflict,
-            then: (Boolean, Moment) -> Unit,
-            now: Moment,
-        ) {
-            val stored = reply.current.value?.let { codec.decode(it).getOrNull() }
-            if (stored == null || stored.term > record.term) return lost(now)
-            recordRevision = reply.current.revision
-            if (stored.version >= record.version) then(true, now) else write(record, then)
-        }
-
-        private fun writeAgain(record: OwnershipRecord, then: (Boolean, Moment) -> Unit, now: Moment) {
-            if (allocator == null) return
-            if (isStoreOut(now)) return then(false, now)
-            timers.at(now + settings.storeRetry) { write(record, then) }
-        }
-
-        override fun publish(record: OwnershipRecord, now: Moment): Unit = publisher.publish(record, now)
-
-        override fun lost(now: Moment) {
-            val lost = allocator ?: return
-            lost.stop()
-            allocator = null
-            isOwnKey = false
-            heldSince = null
-            effects.add(Effect.StateChanged(StateChange.DutyLost(pool.name, lost.term)))
-            timers.at(now + settings.storeRetry, ::consider)
-        }
-
-        fun giveUp(now: Moment) {
-            if (allocator == null) return
-            lost(now)
-            store.call(StoreCall.Delete(dutyKey, keyRevision)) { _, _ -> }
-        }
-
-        fun handOver(now: Moment) {
-            lost(now)
-            handovers++
-            store.call(StoreCall.Delete(dutyKey, keyRevision)) { _, _ ->
-                handovers--
-                finishStop()
-            }
-        }
-    }
 }
