--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -36,10 +36,10 @@
     private val settings: DispatchSettings,
     private val timers: Timers,
     private val effects: Effects,
-) {
+) : PlaceAnswers {
     private val requests = HashMap<RequestId, PendingRequest>()
     private val waiting = LinkedHashSet<PendingRequest>()
-    private val schedulers = HashMap<PoolName, Scheduler>()
+    private val schedulers = HomeSchedulers(vms, owners, settings, this)
     private val upstreams = HashMap<UpstreamId, Upstream>()
     private val pools = HashMap<PoolName, Pool>()
     private val homeDuties = HashMap<UpstreamId?, String>()
@@ -63,6 +63,9 @@
         timers.at(now + settings.homePing, ::watchHomes)
     }
 
+    /** The schedulers of the upstreams that this VM is home of. */
+    val homeSide: HomeSchedulers get() = schedulers
+
     /** Takes the pools of [declaration] over. */
     fun configure(declaration: Declaration, now: Moment) {
         upstreams.clear()
@@ -70,11 +73,7 @@
         pools.clear()
         declaration.pools.associateByTo(pools) { it.name }
         declaration.pools.flatMap { it.upstreams }.associateByTo(upstreams) { it.id }
-        schedulers.keys.retainAll(declaration.pools.map { it.name }.toSet())
-        for (pool in declaration.pools) {
-            val scheduler = schedulers.getOrPut(pool.name) { Scheduler(pool, owners, settings, Output(pool.name)) }
-            scheduler.configure(pool, declaration, now)
-        }
+        schedulers.configure(declaration, now)
     }
 
     /** Sends [request], which admission has let through, on its way. */
@@ -86,7 +85,7 @@
 
     /** Takes a request that another VM has admitted and relayed here. */
     fun acceptRelayed(id: RequestId, relayed: RelayedRequest, timeLeft: Duration, now: Moment) {
-        val pool = pools[relayed.pool] ?: return effects.add(Effect.Refuse(id, NO_POOL))
+        val pool = pools[relayed.pool] ?: return effects.add(Effect.Refuse(id, HomeSchedulers.NO_POOL))
         val request = PendingRequest(
             id = id,
             pool = pool,
@@ -167,27 +166,7 @@
         }
     }
 
-    /** Handles a request for a place at an upstream that this VM is home of. */
-    fun reserveFor(from: VmId, message: PeerMessage.Reserve, now: Moment) {
-        val scheduler = schedulers[message.pool]
-        val reservation = Reservation(
-            entry = from,
-            id = message.id,
-            slot = message.slot,
-            requestClass = message.requestClass,
-            tenant = message.tenant,
-            deadline = now + message.timeLeft,
-        )
-        if (scheduler == null) {
-            Output(message.pool).denied(reservation, NO_POOL, now)
-        } else {
-            scheduler.reserve(reservation, now)
-        }
-        scheduleSweep(now)
-    }
-
-    /** Handles the home's word that a request has a place. */
-    fun reserved(from: VmId, message: PeerMessage.Reserved, now: Moment) {
+    override fun reserved(from: VmId, message: PeerMessage.Reserved, now: Moment) {
         val request = requests[message.id]
         val state = request?.state
         val duplicate =
@@ -199,26 +178,15 @@
         forward(request, from, message.upstream, now)
     }
 
-    /** Handles the home's word that a request gets no place. */
-    fun denied(from: VmId, message: PeerMessage.Denied, now: Moment) {
+    override fun denied(from: VmId, message: PeerMessage.Denied, now: Moment) {
         val request = requests[message.id] ?: return
         val state = request.state as? PendingRequest.State.Reserving ?: return
         if (state.home == from) refuse(request, message.refusal, now)
     }
 
-    /** Handles a place that comes back. */
-    fun released(from: VmId, message: PeerMessage.Release, now: Moment) {
-        schedulers[message.pool]?.release(from, message.id, message.result, message.duration, now)
-    }
-
-    /** Handles another VM's list of the places that it uses. */
-    fun holding(from: VmId, message: PeerMessage.Holding, now: Moment) {
-        schedulers[message.pool]?.reconcile(from, message.ids, now)
-    }
-
     /** Tries again at once what waited for the owners of [pool] to change. */
     fun ownersChanged(pool: PoolName, now: Moment) {
-        schedulers[pool]?.ownersChanged(now)
+        schedulers.ownersChanged(pool, now)
         waiting.filter { it.pool.name == pool && it.state is PendingRequest.State.BackingOff }
             .forEach { reserve(it, now) }
     }
@@ -247,7 +215,7 @@
             timeLeft = request.deadline - now,
         )
         val vm = vms.vm(home)
-        if (home == vms.self || vm == null) reserveFor(vms.self, message, now) else vms.send(vm, message)
+        if (home == vms.self || vm == null) schedulers.reserve(vms.self, message, now) else vms.send(vm, message)
     }
 
     private fun homeOf(request: PendingRequest): VmId {
@@ -341,13 +309,13 @@
     private fun release(request: PendingRequest, home: VmId, result: PlaceResult, duration: Duration, now: Moment) {
         val message = PeerMessage.Release(request.pool.name, request.id, result, duration)
         val vm = vms.vm(home)
-        if (home == vms.self || vm == null) released(vms.self, message, now) else vms.send(vm, message)
+        if (home == vms.self || vm == null) schedulers.release(vms.self, message, now) else vms.send(vm, message)
     }
 
     private fun giveBack(home: VmId, message: PeerMessage.Reserved, now: Moment) {
         val release = PeerMessage.Release(message.pool, message.id, PlaceResult.Unused, Duration.ZERO)
         val vm = vms.vm(home)
-        if (home == vms.self || vm == null) released(vms.self, release, now) else vms.send(vm, release)
+        if (home == vms.self || vm == null) schedulers.release(vms.self, release, now) else vms.send(vm, release)
     }
 
     /** Without this, a place whose release was lost would stay taken until the request's deadline. */
@@ -362,7 +330,8 @@
         }
     }
 
-    private fun scheduleSweep(now: Moment) {
+    /** Makes sure that overdue waiting ends soon. */
+    fun scheduleSweep(now: Moment) {
         if (sweeping) return
         sweeping = true
         timers.at(now + settings.sweep, ::sweep)
@@ -370,7 +339,7 @@
 
     private fun sweep(now: Moment) {
         sweeping = false
-        schedulers.values.forEach { it.sweep(now) }
+        schedulers.sweep(now)
         for (request in waiting.toList()) {
             when (val state = request.state) {
                 is PendingRequest.State.Reserving -> check(request, state, now)
@@ -378,7 +347,7 @@
                 else -> Unit
             }
         }
-        if (waiting.isNotEmpty() || schedulers.values.any { it.isActive }) scheduleSweep(now)
+        if (waiting.isNotEmpty() || schedulers.isActive) scheduleSweep(now)
     }
 
     private fun check(request: PendingRequest, state: PendingRequest.State.Reserving, now: Moment) {
@@ -410,26 +379,8 @@
 
     private data class PlaceGiver(val home: VmId, val pool: PoolName)
 
-    private inner class Output(private val pool: PoolName) : SchedulerOutput {
-        override fun reserved(reservation: Reservation, upstream: UpstreamId, now: Moment) {
-            val message = PeerMessage.Reserved(pool, reservation.id, upstream)
-            deliver(reservation.entry, message) { reserved(vms.self, message, now) }
-        }
-
-        override fun denied(reservation: Reservation, refusal: Refusal, now: Moment) {
-            val message = PeerMessage.Denied(pool, reservation.id, refusal)
-            deliver(reservation.entry, message) { denied(vms.self, message, now) }
-        }
-
-        private fun deliver(entry: VmId, message: PeerMessage, locally: () -> Unit) {
-            if (entry == vms.self) return locally()
-            vms.vm(entry)?.let { vms.send(it, message) }
-        }
-    }
-
     private companion object {
         const val MAX_DOUBLINGS = 4
-        val NO_POOL = Refusal(Reason.NoUpstream, "the pool is not known here")
         val NO_UPSTREAM = Refusal(Reason.NoUpstream, "the upstream is not declared any more")
         val OWNER_AWAY = Refusal(Reason.OwnerUnavailable, "no upstream could take the request in time")
         val BUSY = Refusal(Reason.Overloaded, "the upstream has no free place")
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -127,11 +127,11 @@
     private fun peerSaid(from: VmId, message: PeerMessage, now: Moment) {
         vms.heard(from, now)
         when (message) {
-            is PeerMessage.Reserve -> dispatcher.reserveFor(from, message, now)
+            is PeerMessage.Reserve -> reserve(from, message, now)
             is PeerMessage.Reserved -> dispatcher.reserved(from, message, now)
             is PeerMessage.Denied -> dispatcher.denied(from, message, now)
-            is PeerMessage.Release -> dispatcher.released(from, message, now)
-            is PeerMessage.Holding -> dispatcher.holding(from, message, now)
+            is PeerMessage.Release -> dispatcher.homeSide.release(from, message, now)
+            is PeerMessage.Holding -> dispatcher.homeSide.holding(from, message, now)
             is PeerMessage.BudgetRequest -> keepBudget(from, message, now)
             is PeerMessage.BudgetReply -> budgets.replied(from, message, now)
             is PeerMessage.RecordUpdate -> learn(message.record, from, now)
@@ -147,6 +147,11 @@
         }
     }
 
+    private fun reserve(from: VmId, message: PeerMessage.Reserve, now: Moment) {
+        dispatcher.homeSide.reserve(from, message, now)
+        dispatcher.scheduleSweep(now)
+    }
+
     private fun left(vm: VmId, now: Moment) {
         vms.depart(vm)
         budgets.keeperLeft(vm, now)
