Ask a budget keeper for one refresh time of tokens instead of two

Cause: within the rate, 5.4 % of requests were refused at 90 % load and 10 % at 100 %, with callers spread unevenly: tokens lent ahead ran out unused at VMs with few callers. Change: a VM asks for what it expects until its next request. Ruled out: giving unused tokens back to the keeper. A late message would carry credit past the burst; it needs the keeper to count what is out, which is open.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudget.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TenantBudget.kt
@@ -81,7 +81,7 @@
         sequence++
         sentAt = now
         answered = false
-        val wanted = ceil(demand.expected(settings.refresh * 2)).toInt() + waiting - available(now)
+        val wanted = ceil(demand.expected(settings.refresh)).toInt() + waiting - available(now)
         return PeerMessage.BudgetRequest(tenant, sequence, waived, waiver, maxOf(0, wanted), leave)
     }
 
