Warm the JSON mapper up before a process serves

Cause: separate processes took 3.1 s from taking a pool's duty to its first owners: the upstreams' first grant order took longer than the allocator's 300 ms. Change: gateways, upstream and store stand-ins write and read one message of each kind before they bind.

--- a/cicadagauge-config/src/main/kotlin/cicadagauge/store/Json.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/store/Json.kt
@@ -1,6 +1,14 @@
 package cicadagauge.store
 
+import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.Incarnation
+import cicadagauge.identity.Moment
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.Term
+import cicadagauge.identity.UpstreamId
 import cicadagauge.ownership.GrantOrder
+import cicadagauge.ownership.GrantReport
+import cicadagauge.ownership.LeaseHolder
 import cicadagauge.ownership.SlotSet
 import cicadagauge.peer.PeerMessage
 import com.fasterxml.jackson.annotation.JsonTypeInfo
@@ -29,6 +37,25 @@
         .build()
         .apply { registerSubtypes(subtypes()) }
 
+    /**
+     * Writes and reads one message of each kind. The first use of a kind takes tens of milliseconds, which a process
+     * had better spend before it answers calls that others time out.
+     */
+    public fun warmUp() {
+        val pool = PoolName("p")
+        val claim = GrantOrder.Claim(pool, UpstreamId("u"), Term.NONE)
+        val report = LeaseHolder(pool, claim.upstream, Incarnation("i")).handle(claim, Moment.ZERO)
+        turn(GrantOrder::class.java, claim)
+        turn(GrantReport::class.java, report)
+        turn(PeerMessage::class.java, PeerMessage.Digest(DeclarationVersion.NONE, emptyList()))
+        turn(StoreCall::class.java, StoreCall.Get(StoreKeys.DECLARATION))
+        turn(StoreReply::class.java, StoreReply.LeaseLapsed)
+    }
+
+    private fun <T> turn(type: Class<T>, value: T) {
+        mapper.readValue(mapper.writerFor(type).writeValueAsBytes(value), type)
+    }
+
     private fun subtypes(): List<Class<*>> =
         listOf(PeerMessage::class, GrantOrder::class, StoreCall::class, StoreReply::class)
             .flatMap { it.java.declaredClasses.toList() }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -18,6 +18,7 @@
 import cicadagauge.node.Effect
 import cicadagauge.node.Event
 import cicadagauge.node.NodeStatus
+import cicadagauge.store.Json
 import cicadagauge.store.JsonDeclarationCodec
 import cicadagauge.store.JsonRecordCodec
 import io.netty.bootstrap.ServerBootstrap
@@ -55,6 +56,7 @@
 
     /** Binds both ports and begins to work; throws where a port can't be bound. */
     public fun start(): Gateway {
+        Json.warmUp()
         driver.effects = EffectHandler(::carryOut)
         control.start()
         listener = listen()
--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreStandin.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreStandin.kt
@@ -28,6 +28,7 @@
 
     /** Binds the address. */
     public fun start(): StoreStandin {
+        Json.warmUp()
         server.start()
         loop.scheduleAtFixedRate({
             model.expire(MonotonicClock.now())
--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/upstream/UpstreamStandin.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/upstream/UpstreamStandin.kt
@@ -53,6 +53,7 @@
 
     /** Binds the address. */
     public fun start(): UpstreamStandin {
+        Json.warmUp()
         listener = ServerBootstrap().group(loop).channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
