--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/FailureRow.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/FailureRow.kt
@@ -108,7 +108,7 @@
             later(5.seconds) { victim().crash() }
             later(30.seconds) { fleet.store.out = false }
         },
-        FailureRow("allocator-and-upstream-crashed", 30.seconds) {
+        FailureRow("allocator-and-upstream-crashed", 30.seconds, limit = LOST) {
             fleet.crash(allocator())
             victim().crash()
         },
@@ -143,7 +143,7 @@
             fleet.apply(fleet.declaration.copy(zonesOut = setOf(zone)), version = 2)
             later(15.seconds) { fleet.apply(fleet.declaration, version = 3) }
         },
-        FailureRow("zone-lost", 40.seconds) {
+        FailureRow("zone-lost", 40.seconds, limit = LOST) {
             val zone = fleet.traits.shape.zones.first()
             fleet.vms.filter { it.zone.value == zone }.forEach { fleet.crash(it) }
             pool().upstreams.filter { it.zone.value == zone }.forEach {
