--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -29,6 +29,7 @@
 /** Reads the answers of one upstream connection and passes them to the attempt that uses it. */
 internal class UpstreamHandler(private val limits: UpstreamLimits) : ChannelInboundHandlerAdapter() {
     private var status = 0
+    private var keepAlive = false
     private var refused: AttemptOutcome? = null
     private var progress: ScheduledFuture<*>? = null
     private var lastRead = 0L
@@ -93,8 +94,6 @@
         watchProgress(context)
     }
 
-    private var keepAlive = false
-
     private fun body(running: UpstreamAttempt, content: HttpContent) {
         if (status == 0) {
             content.release()
