Prove at the sockets what an upstream's failures and a planned stop mean for callers

Cause: answers that break off, bookings whose connection breaks, silence and planned stops had no test. Change: UpstreamContractTest runs ten ways in which an upstream answers or fails through a real gateway and counts the attempts; GracefulStopTest stops one of two VMs under load. The latter found that a second stop of a gateway threw; it does nothing now. Conclusion: late answers over kept connections and slow readers still have no test.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -76,8 +76,10 @@
     /**
      * Stops without cutting off a request: first not ready, then duties are handed over, then the listening port
      * is closed and open requests are waited for, up to [limit]. Returns whether all of them were answered.
+     * A second stop does nothing.
      */
     public fun stop(limit: Duration, announce: Duration = 1.seconds): Boolean {
+        if (group.isShuttingDown) return true
         val end = System.nanoTime() + limit.inWholeNanoseconds
         loop.execute {
             registry.draining = true
--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreStandin.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreStandin.kt
@@ -36,6 +36,9 @@
         return this
     }
 
+    /** Makes [call] at once, as an operator's command would. */
+    public fun write(call: StoreCall): Unit = loop.submit<Unit> { model.handle(call, MonotonicClock.now()) {} }.get()
+
     /** Puts [newFaults] into effect. */
     public fun fail(newFaults: StoreFaults): Unit = loop.execute { faults = newFaults }
 
--- /dev/null
+++ b/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/deployment/GracefulStopTest.kt
@@ -0,0 +1,73 @@
+package cicadagauge.standins.deployment
+
+import cicadagauge.identity.Address
+import cicadagauge.standins.load.LoadGenerator
+import cicadagauge.standins.load.LoadRequest
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlin.concurrent.thread
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class GracefulStopTest :
+    FunSpec({
+        test("a planned stop answers every request that the VM has taken, and the other VM goes on") {
+            val shape = DeploymentShape.HOSHIZORA.copy(
+                pools = DeploymentShape.HOSHIZORA.pools.map { it.copy(instances = 4) },
+                entryVms = 2,
+                tenantRates = listOf(100_000.0),
+            )
+            val deployment = InProcessDeployment(
+                shape,
+                vmCount = 2,
+                portBase = 28_700,
+                service = 50.milliseconds,
+                coldTime = Duration.ZERO,
+            )
+                .start()
+            val stopped = ArrayList<Boolean>()
+            val stopping = thread(start = false) {
+                stopped += deployment.gateways.first().stop(limit = 20.seconds)
+            }
+            val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+            val leaving: Address = deployment.callers.first()
+            val staying: Address = deployment.callers.last()
+            val figures = LoadGenerator(group).run(ratePerSecond = 40, length = 4.seconds) { number ->
+                if (number == TAKEN) stopping.start()
+                val target = if (number < TAKEN) leaving else staying
+                LoadRequest(
+                    target,
+                    "GET",
+                    "/catalogue/club-$number",
+                    shape.keyOf("tenant-1"),
+                    if (number <
+                        TAKEN
+                    ) {
+                        "leaving"
+                    } else {
+                        "staying"
+                    },
+                )
+            }
+            stopping.join()
+            deployment.stop()
+            group.shutdownGracefully()
+            withClue(
+                figures.mapValues { (_, it) ->
+                    "sent ${it.sent} answered ${it.answered} refused ${it.reasons} lost ${it.lost}"
+                },
+            ) {
+                stopped shouldBe listOf(true)
+                figures.values.sumOf { it.lost } shouldBe 0L
+                figures.values.sumOf { it.answered + it.refused } shouldBe 160L
+                figures.getValue("leaving").answered shouldBe TAKEN.toLong()
+            }
+        }
+    })
+
+/** How many requests go to the VM that is stopped, up to the moment at which it stops. */
+private const val TAKEN = 44
--- /dev/null
+++ b/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/upstream/UpstreamContractTest.kt
@@ -0,0 +1,176 @@
+package cicadagauge.standins.upstream
+
+import cicadagauge.gateway.Gateway
+import cicadagauge.gateway.GatewaySettings
+import cicadagauge.identity.Address
+import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.OperationId
+import cicadagauge.identity.VmId
+import cicadagauge.membership.Vm
+import cicadagauge.node.NodeSettings
+import cicadagauge.standins.store.StoreStandin
+import cicadagauge.standins.vms.VmListStandin
+import cicadagauge.store.JsonDeclarationCodec
+import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreKeys
+import cicadagauge.store.StoreRevision
+import cicadagauge.store.StoredDeclaration
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.time.Duration
+
+/** An upstream that answers each request with [answer], as bytes on the wire, and then closes the connection. */
+private class RawUpstream {
+    private val listener = ServerSocket(0)
+    val port: Int = listener.localPort
+    val requests = AtomicInteger()
+
+    @Volatile
+    var answer: (Int) -> String? = { null }
+
+    init {
+        thread(isDaemon = true) {
+            while (true) listener.accept().let { socket -> thread(isDaemon = true) { serve(socket) } }
+        }
+    }
+
+    private fun serve(socket: Socket) = socket.use {
+        val reader = it.getInputStream().bufferedReader(Charsets.ISO_8859_1)
+        while (reader.readLine()?.isNotEmpty() == true) Unit
+        val bytes = answer(requests.incrementAndGet())
+        if (bytes == null) reader.read() else it.getOutputStream().write(bytes.toByteArray(Charsets.ISO_8859_1))
+    }
+}
+
+/** What the upstream sends, and what must and must not reach the caller. */
+private class Case(
+    val name: String,
+    val method: String,
+    val answer: (Int) -> String?,
+    val expected: List<String>,
+    val unexpected: List<String> = emptyList(),
+    val attempts: Int? = null,
+)
+
+class UpstreamContractTest :
+    FunSpec({
+        val upstream = RawUpstream()
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        val callers = Address("127.0.0.1", 28_601)
+        val control = Address("127.0.0.1", 28_602)
+        lateinit var gateway: Gateway
+
+        beforeSpec {
+            val store = StoreStandin(group, Address("127.0.0.1", 0)).start()
+            val vm = Vm(VmId("vm-1"), control, callers, AvailabilityZone("a"))
+            val list = VmListStandin(group, Address("127.0.0.1", 0), Duration.ZERO, listOf(vm)).start()
+            val text = """
+            |zones: [a]
+            |pools: [{name: p, keyed: false, upstreams: [{id: u, address: '127.0.0.1:${upstream.port}', zone: a}]}]
+            |routes:
+            |  - {name: r, path: /r, methods: [GET], pool: p, idempotent: true, open: true, deadlineMillis: 1500}
+            |  - {name: w, path: /w, methods: [POST], pool: p, open: true, deadlineMillis: 1500}
+            """.trimMargin()
+            val stored = StoredDeclaration(DeclarationVersion(1), OperationId("test"), text)
+            store.write(StoreCall.Put(StoreKeys.DECLARATION, JsonDeclarationCodec().seal(stored), StoreRevision.ABSENT))
+            val settings = GatewaySettings(
+                node = NodeSettings(vm.id, vm.zone),
+                callers = callers,
+                control = control,
+                store = Address("127.0.0.1", store.port),
+                vmList = Address("127.0.0.1", list.port),
+                secret = "secret",
+            )
+            gateway = Gateway(settings).start()
+            while (!gateway.statusNow().ready) Thread.sleep(20)
+        }
+
+        afterSpec {
+            gateway.kill()
+            group.shutdownGracefully()
+        }
+
+        fun talk(method: String): String = Socket(callers.host, callers.port).use { socket ->
+            socket.soTimeout = 20_000
+            val path = if (method == "GET") "/r" else "/w"
+            val head = "$method $path HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+            socket.getOutputStream().write(head.toByteArray())
+            runCatching { socket.getInputStream().readBytes() }.getOrDefault(ByteArray(0)).toString(Charsets.ISO_8859_1)
+        }
+
+        val whole = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole"
+        val notRun = "HTTP/1.1 503 Busy\r\nx-cicadagauge-verdict: not-run\r\ncontent-length: 0\r\n\r\n"
+
+        val cases = listOf(
+            Case("a whole answer", "GET", { whole }, listOf("HTTP/1.1 200", "whole"), attempts = 1),
+            Case("a booking that breaks off runs once", "POST", {
+                ""
+            }, listOf("502", "may-have-run", "upstream-broke"), attempts = 1),
+            Case("a read that breaks off is sent again", "GET", {
+                if (it ==
+                    1
+                ) {
+                    ""
+                } else {
+                    whole
+                }
+            }, listOf("200", "whole"), attempts = 2),
+            Case("a booking that did not run is sent again", "POST", {
+                if (it ==
+                    1
+                ) {
+                    notRun
+                } else {
+                    whole
+                }
+            }, listOf("200"), attempts = 2),
+            Case(
+                name = "an answer cut within its length is not passed as whole",
+                method = "GET",
+                answer = { "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\npart" },
+                expected = listOf("content-length: 50"),
+                attempts = 1,
+            ),
+            Case(
+                name = "an answer cut between chunks has no last chunk",
+                method = "GET",
+                answer = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n" },
+                expected = listOf("transfer-encoding: chunked"),
+                unexpected = listOf("0\r\n\r\n"),
+            ),
+            Case("an answer that only the end of the connection ends", "POST", {
+                "HTTP/1.1 200 OK\r\n\r\nall?"
+            }, listOf("502"), listOf("all?")),
+            Case("a forged verdict does not pass", "GET", {
+                whole.replace("\r\n\r\n", "\r\nx-cicadagauge-reason: x\r\n\r\n")
+            }, listOf("200"), listOf("-reason")),
+            Case("silence ends at the deadline", "POST", {
+                null
+            }, listOf("504", "deadline-during-run", "may-have-run"), attempts = 1),
+            Case("the next request is not harmed by the silent one", "GET", { whole }, listOf("200", "whole")),
+        )
+
+        test("each way in which an upstream answers or fails reaches the caller as what it is") {
+            for (case in cases) {
+                upstream.requests.set(0)
+                upstream.answer = case.answer
+                val answer = talk(case.method)
+                withClue("${case.name}: $answer") {
+                    case.expected.forEach { answer shouldContain it }
+                    case.unexpected.forEach { answer shouldNotContain it }
+                    case.attempts?.let { upstream.requests.get() shouldBe it }
+                }
+            }
+            gateway.statusNow().pendingRequests shouldBe 0
+        }
+    })
