Keep a caller's connection open after a refusal

Cause: the README's curl lines, run for real, showed 'connection: close' on a 401: a refusal that is decided before the empty end of a request without a body was read counted as one with a body still to come. Change: only a body that the head announces closes the connection. Figures: two refusals and a read go over one connection in the new test; before, the first refusal closed it. Conclusion: callers over their rate no longer pay a new connection for each refusal.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerHandler.kt
@@ -84,7 +84,7 @@
     fun refuse(exchange: Exchange, refusal: Refusal) {
         if (exchange !== current) return
         val answer = RefusalAnswer.of(refusal)
-        if (!exchange.complete) keepAlive = false
+        if (exchange.hasMoreBody) keepAlive = false
         begin(answer)
         write(answer)
         finish(exchange)
@@ -93,7 +93,7 @@
     /** Passes the head of an upstream's answer on. */
     fun begin(exchange: Exchange, answer: HttpResponse) {
         exchange.answering = true
-        if (!exchange.complete) keepAlive = false
+        if (exchange.hasMoreBody) keepAlive = false
         begin(answer)
         context.write(answer)
     }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
@@ -13,6 +13,7 @@
 import cicadagauge.identity.TenantName
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 
 /** The state of one request on the caller's side. */
@@ -41,6 +42,12 @@
     /** Whether a part of the answer has gone to the caller. */
     var answering = false
 
+    /** Whether a part of the request body is still to come, which an early answer can't wait for. */
+    val hasMoreBody: Boolean get() = !complete && announcesBody
+
+    private val announcesBody =
+        HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0
+
     /** Whether the whole request body was read. */
     var complete = false
         private set
--- a/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/deployment/CallerContractTest.kt
+++ b/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/deployment/CallerContractTest.kt
@@ -139,6 +139,13 @@
             answer.indexOf("/catalogue/club-2") shouldBeGreaterThan one
         }
 
+        test("a refusal leaves the connection open for the next request") {
+            val refused = "GET /catalogue/club-1 HTTP/1.1\r\nhost: h\r\n\r\n"
+            val answer = talk(refused + refused + get("/catalogue/club-2"))
+            answer.split("HTTP/1.1 401").size shouldBe 3
+            answer shouldContain "/catalogue/club-2"
+        }
+
         test("the same key reaches the same upstream through every entry VM") {
             val owners = deployment.callers.map {
                 talk(get("/catalogue/club-9"), it).substringAfter("\"upstream\":\"").substringBefore('"')
