Read the change once more: dead state, four twins and a constant that stood four times

Cause: a second reading found state that nothing read any more (tries and the time of the first try of a reservation, a setting for them, an event that the node ignored), and the same steps written twice or more: giving a place back, sending an allocator's orders, checking the deployment's secret, writing the local declaration over a hand-made HTTP call beside StoreStandin.write, and the name of the tenant's key header. Change: one piece for each (Dispatcher.release and withdraw, PoolAllocator.sendNow, DeploymentSecret, StoreStandin.write, RequestHead.KEY_HEADER); the dead parts are gone. Behaviour, bounds and tests stay. Conclusion: left for later: the pools of idle connections in JsonHttpClient, UpstreamConnections and LoadGenerator, and the two ways in which PoolDuty puts its key.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Effect.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Effect.kt
@@ -40,7 +40,7 @@
     /** Gives a request its final answer without an upstream's. */
     public data class Refuse(val id: RequestId, val refusal: Refusal) : Effect
 
-    /** Sends an order to an upstream. */
+    /** Sends an order to an upstream; [Event.GrantReported] follows where it answers. */
     public data class SendGrant(val address: Address, val order: GrantOrder) : Effect
 
     /** Sends [message] to the VM [to] at [address]. */
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
@@ -1,7 +1,6 @@
 package cicadagauge.node
 
 import cicadagauge.identity.RequestId
-import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
 import cicadagauge.membership.Vm
 import cicadagauge.outcome.AttemptOutcome
@@ -31,9 +30,6 @@
     /** An upstream answered a grant order, or told of itself. */
     public data class GrantReported(val report: GrantReport) : Event
 
-    /** An upstream could not be reached with a grant order. */
-    public data class GrantUnanswered(val upstream: UpstreamId) : Event
-
     /** The store answered a call, or the adapter gave up on it. */
     public data class StoreReplied(val call: StoreCallId, val reply: StoreReply) : Event
 
@@ -66,4 +62,9 @@
 
     /** The only value of header [name], or null where it is missing. */
     public fun header(name: String): String?
+
+    public companion object {
+        /** The header that carries a tenant's key, in lower case. */
+        public const val KEY_HEADER: String = "x-api-key"
+    }
 }
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/Prober.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/Prober.kt
@@ -17,7 +17,7 @@
     override val deadline: Duration? = null,
     override val query: String? = null,
 ) : RequestHead {
-    override fun header(name: String): String? = key.takeIf { name == "x-api-key" }
+    override fun header(name: String): String? = key.takeIf { name == RequestHead.KEY_HEADER }
 }
 
 /** Asks for each of [keys] keys again and again, through the VMs in turn, and notes how long none was answered. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
@@ -78,7 +78,7 @@
     }
 
     private fun tenantOf(head: RequestHead): Tenant? {
-        val key = head.header(KEY_HEADER) ?: return null
+        val key = head.header(RequestHead.KEY_HEADER) ?: return null
         return authenticator?.tenantOf(key)
     }
 
@@ -95,10 +95,7 @@
         }
     }
 
-    companion object {
-        /** The header that carries a tenant's key, in lower case. */
-        const val KEY_HEADER: String = "x-api-key"
-
-        private val OPEN = TenantName("-")
+    private companion object {
+        val OPEN = TenantName("-")
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -141,7 +141,8 @@
         now: Moment,
     ) {
         request.state = PendingRequest.State.Idle
-        release(request, state.home, resultOf(outcome), now - state.since, now)
+        val given = PeerMessage.Release(request.pool.name, request.id, resultOf(outcome), now - state.since)
+        release(state.home, given, now)
         when (outcome) {
             is AttemptOutcome.Answered, AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
             is AttemptOutcome.Refused -> refuse(request, outcome.refusal, now)
@@ -154,16 +155,7 @@
     fun callerLeft(id: RequestId, now: Moment) {
         val request = requests.remove(id) ?: return
         waiting -= request
-        val state = request.state
-        if (state is PendingRequest.State.Reserving) {
-            release(
-                request,
-                state.home,
-                PlaceResult.Unused,
-                Duration.ZERO,
-                now,
-            )
-        }
+        withdraw(request, now)
     }
 
     override fun reserved(from: VmId, message: PeerMessage.Reserved, now: Moment) {
@@ -173,7 +165,7 @@
             state is PendingRequest.State.Running && state.home == from && state.upstream == message.upstream
         if (duplicate) return
         if (request == null || state !is PendingRequest.State.Reserving || state.home != from) {
-            return giveBack(from, message, now)
+            return release(from, PeerMessage.Release(message.pool, message.id, PlaceResult.Unused, Duration.ZERO), now)
         }
         forward(request, from, message.upstream, now)
     }
@@ -197,13 +189,7 @@
         if (settings.homes == HomePolicy.Relay && home != vms.self && homeVm != null) {
             return relay(request, homeVm, now)
         }
-        val before = (request.state as? PendingRequest.State.Reserving)?.takeIf { it.home == home }
-        request.state = PendingRequest.State.Reserving(
-            home = home,
-            since = before?.since ?: now,
-            tries = (before?.tries ?: 0) + 1,
-            answerDue = now + settings.homeSilence,
-        )
+        request.state = PendingRequest.State.Reserving(home, answerDue = now + settings.homeSilence)
         waiting += request
         scheduleSweep(now)
         val message = PeerMessage.Reserve(
@@ -214,8 +200,13 @@
             tenant = request.tenant,
             timeLeft = request.deadline - now,
         )
-        val vm = vms.vm(home)
-        if (home == vms.self || vm == null) schedulers.reserve(vms.self, message, now) else vms.send(vm, message)
+        if (home == vms.self ||
+            homeVm == null
+        ) {
+            schedulers.reserve(vms.self, message, now)
+        } else {
+            vms.send(homeVm, message)
+        }
     }
 
     private fun homeOf(request: PendingRequest): VmId {
@@ -245,7 +236,7 @@
     private fun forward(request: PendingRequest, home: VmId, upstream: UpstreamId, now: Moment) {
         val target = upstreams[upstream]
         if (target == null || now >= request.deadline) {
-            release(request, home, PlaceResult.Unused, Duration.ZERO, now)
+            giveBack(request, home, now)
             return backOff(request, NO_UPSTREAM, now)
         }
         waiting -= request
@@ -293,29 +284,22 @@
     private fun refuse(request: PendingRequest, refusal: Refusal, now: Moment) {
         requests -= request.id
         waiting -= request
-        val state = request.state
-        if (state is PendingRequest.State.Reserving) {
-            release(
-                request,
-                state.home,
-                PlaceResult.Unused,
-                Duration.ZERO,
-                now,
-            )
-        }
+        withdraw(request, now)
         effects.add(Effect.Refuse(request.id, refusal))
     }
 
-    private fun release(request: PendingRequest, home: VmId, result: PlaceResult, duration: Duration, now: Moment) {
-        val message = PeerMessage.Release(request.pool.name, request.id, result, duration)
-        val vm = vms.vm(home)
-        if (home == vms.self || vm == null) schedulers.release(vms.self, message, now) else vms.send(vm, message)
+    /** Takes a request for a place back that no answer has come to. */
+    private fun withdraw(request: PendingRequest, now: Moment) {
+        val state = request.state
+        if (state is PendingRequest.State.Reserving) giveBack(request, state.home, now)
     }
 
-    private fun giveBack(home: VmId, message: PeerMessage.Reserved, now: Moment) {
-        val release = PeerMessage.Release(message.pool, message.id, PlaceResult.Unused, Duration.ZERO)
+    private fun giveBack(request: PendingRequest, home: VmId, now: Moment): Unit =
+        release(home, PeerMessage.Release(request.pool.name, request.id, PlaceResult.Unused, Duration.ZERO), now)
+
+    private fun release(home: VmId, message: PeerMessage.Release, now: Moment) {
         val vm = vms.vm(home)
-        if (home == vms.self || vm == null) schedulers.release(vms.self, release, now) else vms.send(vm, release)
+        if (home == vms.self || vm == null) schedulers.release(vms.self, message, now) else vms.send(vm, message)
     }
 
     /** Without this, a place whose release was lost would stay taken until the request's deadline. */
@@ -353,11 +337,8 @@
     private fun check(request: PendingRequest, state: PendingRequest.State.Reserving, now: Moment) {
         if (now >= request.deadline) return refuse(request, TOO_LATE, now)
         if (state.home == vms.self || now < state.answerDue) return
-        if (vms.lastHeard(state.home) <
-            now - settings.homeSilence
-        ) {
-            vms.suspect(state.home, now + settings.homeSuspicion)
-        }
+        val isSilent = vms.lastHeard(state.home) < now - settings.homeSilence
+        if (isSilent) vms.suspect(state.home, now + settings.homeSuspicion)
         reserve(request, now)
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
@@ -31,8 +31,8 @@
         /** Between two steps. */
         data object Idle : State
 
-        /** Waits for [home], asked first at [since] and [tries] times in all; at [answerDue] it is asked again. */
-        class Reserving(val home: VmId, val since: Moment, val tries: Int, val answerDue: Moment) : State
+        /** Waits for [home] to reserve a place; at [answerDue] it is asked again. */
+        class Reserving(val home: VmId, val answerDue: Moment) : State
 
         /** Waits until [until] before it asks for a place again. */
         class BackingOff(val until: Moment) : State
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -93,7 +93,7 @@
             is Event.VmsListed -> listed(event.vms, now)
             Event.Started -> started(now)
             Event.StopRequested -> stop(now)
-            is Event.GrantUnanswered, Event.Woken -> Unit
+            Event.Woken -> Unit
         }
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -76,7 +76,6 @@
     val holding: Duration = 100.milliseconds,
     val holdingMemory: Duration = 5.seconds,
     val homeSilence: Duration = 40.milliseconds,
-    val homeTries: Int = 3,
     val homePing: Duration = 50.milliseconds,
     val homePingSilence: Duration = 200.milliseconds,
     val homeSuspicion: Duration = 1.seconds,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
@@ -155,6 +155,7 @@
      * lease that this one takes for lapsed.
      */
     private fun advance(now: Moment) {
+        if (stopped) return
         val since = context.confirmedSince(now) ?: return
         val interrupted = since > start
         if (interrupted && since + settlingTime > now) return
@@ -183,14 +184,8 @@
         val storeOut = context.isStoreOut(now)
         if (unsaved && !storeOut) return save()
         val members = planner.plan(record.members, pool, declaration, holders, lossesOnly = storeOut, now = now)
-        val predecessors = if (holders.values.all {
-                it.claimed || it.hasLapsed(now)
-            }
-        ) {
-            emptySet()
-        } else {
-            record.predecessors
-        }
+        val isProved = holders.values.all { it.claimed || it.hasLapsed(now) }
+        val predecessors = if (isProved) emptySet() else record.predecessors
         if (members == record.members && predecessors == record.predecessors) return
         put(record.copy(version = record.version.next(), members = members, predecessors = predecessors), now)
     }
@@ -223,7 +218,7 @@
         state = State.Shrinking
         shrinkingSince = now
         holders.values.filter { it.claimed }.forEach(::assign)
-        tickNow(now)
+        sendNow(now)
     }
 
     private fun grantAll(now: Moment) {
@@ -232,7 +227,7 @@
         holders.values.filter { it.claimed }.forEach(::assign)
         effects.add(Effect.StateChanged(StateChange.OwnersChanged(pool.name, record.version, moved)))
         context.publish(record, now)
-        tickNow(now)
+        sendNow(now)
     }
 
     /** What [holder] is to hold in the present state. */
@@ -243,14 +238,10 @@
         holder.assign(GrantStep(term, record.version, phase), slots)
     }
 
-    private fun tickNow(now: Moment) {
-        for (holder in holders.values) send(holder, now)
-        timers.at(now + settings.transition, ::advanceLater)
-    }
-
-    private fun advanceLater(now: Moment) {
-        if (stopped) return
-        advance(now)
+    /** Sends the orders of a change without waiting for the next tick. */
+    private fun sendNow(now: Moment) {
+        holders.values.forEach { send(it, now) }
+        timers.at(now + settings.transition, ::advance)
     }
 
     private fun send(holder: HolderState, now: Moment) {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -49,7 +49,11 @@
     private val peers = PeerSender(client, settings.platform.peerCall)
     private val platform = PlatformClient(settings, client, loop, driver::submit)
     private val control =
-        JsonHttpServer(group, settings.control, ControlHandler(settings.secret, driver, ::status, metrics))
+        JsonHttpServer(
+            group,
+            settings.control,
+            ControlHandler(DeploymentSecret(settings.secret), driver, ::status, metrics),
+        )
     private val callers = DefaultChannelGroup(loop)
     private val handedOver = CompletableFuture<Unit>()
     private var listener: Channel? = null
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -13,7 +13,6 @@
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.Refusal
 import io.netty.handler.codec.http.HttpRequest
-import java.security.MessageDigest
 import kotlin.time.Duration
 
 /** Joins callers' requests, the node that decides about them and the upstreams that run them. */
@@ -23,6 +22,7 @@
     private val metrics: GatewayMetrics,
     private val secret: String,
 ) {
+    private val proof = DeploymentSecret(secret)
     private val exchanges = HashMap<RequestId, Exchange>()
     private var lastId = 0L
 
@@ -54,8 +54,7 @@
     /** What [request] says of itself if another VM of this deployment has relayed it, or null. */
     fun relayed(request: HttpRequest): RelayedRequest? {
         val header = request.headers()[ProtocolHeaders.RELAY] ?: return null
-        val proof = request.headers()[ProtocolHeaders.SECRET] ?: return null
-        val isProved = MessageDigest.isEqual(proof.toByteArray(), secret.toByteArray())
+        val isProved = proof.isProvedBy(request.headers()[ProtocolHeaders.SECRET])
         return if (isProved) RelayHeader.read(header) else null
     }
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/ControlHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/ControlHandler.kt
@@ -1,5 +1,6 @@
 package cicadagauge.gateway.control
 
+import cicadagauge.gateway.DeploymentSecret
 import cicadagauge.gateway.NodeDriver
 import cicadagauge.gateway.ProtocolHeaders
 import cicadagauge.gateway.metrics.GatewayMetrics
@@ -10,11 +11,10 @@
 import cicadagauge.store.Json
 import com.fasterxml.jackson.core.JacksonException
 import com.fasterxml.jackson.core.type.TypeReference
-import java.security.MessageDigest
 
-/** The control port of a VM. Peers prove the deployment's [secret]; health and metrics are open. */
+/** The control port of a VM. Peers prove the [secret]; health and metrics are open. */
 internal class ControlHandler(
-    private val secret: String,
+    private val secret: DeploymentSecret,
     private val driver: NodeDriver,
     private val status: () -> NodeStatus,
     private val metrics: GatewayMetrics,
@@ -51,10 +51,7 @@
         return JsonAnswer(NO_CONTENT)
     }
 
-    private fun isProved(request: JsonRequest): Boolean {
-        val given = request.header(ProtocolHeaders.SECRET) ?: return false
-        return MessageDigest.isEqual(given.toByteArray(), secret.toByteArray())
-    }
+    private fun isProved(request: JsonRequest): Boolean = secret.isProvedBy(request.header(ProtocolHeaders.SECRET))
 
     private companion object {
         val MESSAGES = object : TypeReference<List<PeerMessage>>() {}
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/PlatformClient.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/PlatformClient.kt
@@ -41,7 +41,7 @@
         val body = GRANT_WRITER.writeValueAsBytes(order)
         client.call(JsonCall(address, ProtocolHeaders.GRANT_PATH, body, times.grantCall)) { answer ->
             val report = answer?.let { parse { Json.mapper.readValue(it, GrantReport::class.java) } }
-            submit(if (report == null) Event.GrantUnanswered(order.upstream) else Event.GrantReported(report))
+            if (report != null) submit(Event.GrantReported(report))
         }
     }
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamRequest.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamRequest.kt
@@ -2,6 +2,7 @@
 
 import cicadagauge.gateway.MonotonicClock
 import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.node.RequestHead
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -11,9 +12,8 @@
 
 /** The head of a request as an upstream sees it: without the tenant's key and without what concerns the hop only. */
 internal object UpstreamRequest {
-    private const val KEY_HEADER = "x-api-key"
     private val DROPPED = setOf(
-        KEY_HEADER,
+        RequestHead.KEY_HEADER,
         "connection",
         "keep-alive",
         "proxy-connection",
--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/deployment/InProcessDeployment.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/deployment/InProcessDeployment.kt
@@ -16,16 +16,14 @@
 import cicadagauge.standins.upstream.UpstreamStandin
 import cicadagauge.standins.upstream.UpstreamTraits
 import cicadagauge.standins.vms.VmListStandin
-import cicadagauge.store.Json
 import cicadagauge.store.JsonDeclarationCodec
 import cicadagauge.store.StoreCall
 import cicadagauge.store.StoreKeys
+import cicadagauge.store.StoreReply
 import cicadagauge.store.StoreRevision
 import cicadagauge.store.StoredDeclaration
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import java.net.HttpURLConnection
-import java.net.URI
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -123,10 +121,7 @@
     private fun seed(text: String) {
         val stored = StoredDeclaration(DeclarationVersion(1), OperationId("local"), text)
         val put = StoreCall.Put(StoreKeys.DECLARATION, JsonDeclarationCodec().seal(stored), StoreRevision.ABSENT)
-        val connection = URI("http://$storeAddress/v1/store").toURL().openConnection() as HttpURLConnection
-        connection.doOutput = true
-        connection.outputStream.use { it.write(Json.mapper.writerFor(StoreCall::class.java).writeValueAsBytes(put)) }
-        check(connection.responseCode == HttpURLConnection.HTTP_OK) { "the store refused the declaration" }
+        check(store.write(put) is StoreReply.Written) { "the store refused the declaration" }
     }
 
     private fun settings(number: Int) = GatewaySettings(
--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/load/LoadGenerator.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/load/LoadGenerator.kt
@@ -6,6 +6,7 @@
 
 import cicadagauge.gateway.ProtocolHeaders
 import cicadagauge.identity.Address
+import cicadagauge.node.RequestHead
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -134,7 +135,7 @@
             DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.path, content)
         message.headers().set(HttpHeaderNames.HOST, request.target.toString())
         message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
-        if (request.key != null) message.headers().set("x-api-key", request.key)
+        if (request.key != null) message.headers().set(RequestHead.KEY_HEADER, request.key)
         channel.writeAndFlush(message)
     }
 
--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreStandin.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreStandin.kt
@@ -11,6 +11,7 @@
 import cicadagauge.store.StoreReply
 import com.fasterxml.jackson.core.JacksonException
 import io.netty.channel.EventLoopGroup
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
 /** Serves a [StoreModel] over HTTP with JSON. `POST /v1/faults` takes [StoreFaults]. */
@@ -36,8 +37,12 @@
         return this
     }
 
-    /** Makes [call] at once, as an operator's command would. */
-    public fun write(call: StoreCall): Unit = loop.submit<Unit> { model.handle(call, MonotonicClock.now()) {} }.get()
+    /** Makes the write [call], as an operator's command would, and returns its reply. */
+    public fun write(call: StoreCall): StoreReply {
+        val reply = CompletableFuture<StoreReply>()
+        loop.execute { model.handle(call, MonotonicClock.now(), reply::complete) }
+        return reply.get()
+    }
 
     /** Puts [newFaults] into effect. */
     public fun fail(newFaults: StoreFaults): Unit = loop.execute { faults = newFaults }
