Pass registrations and zones that are out on to VMs that the store turns away

Cause: peers told each other of declarations and ownership records only. Ruled out: more watches (the store answers none of them), sending each change along the tree of declarations (every VM that the store serves has read it already, so it would cost messages for nothing). Revisions order what the store and what peers say, so nothing goes back. Three tests in StoreWatcherTest; without the change a VM that is turned away keeps the state of its last answer.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -19,6 +19,9 @@
 import cicadagauge.ownership.HeatBucket
 import cicadagauge.ownership.OwnershipRecord
 import cicadagauge.ownership.UpstreamTime
+import cicadagauge.store.StoreEntry
+import cicadagauge.store.StoreKey
+import cicadagauge.store.StoreRevision
 import kotlin.time.Duration
 
 /** A message from one VM to another. */
@@ -30,7 +33,22 @@
     public data class RecordUpdate(val record: OwnershipRecord) : PeerMessage
 
     /** Names the versions that the sender has, so that the receiver can send what is newer. */
-    public data class Digest(val declaration: DeclarationVersion, val records: List<RecordDigest>) : PeerMessage
+    public data class Digest(
+        val declaration: DeclarationVersion,
+        val records: List<RecordDigest>,
+        val prefixes: List<PrefixDigest> = emptyList(),
+    ) : PeerMessage
+
+    /**
+     * Passes entries of the store under [prefix] on, as they are after revision [upTo]: those in [entries] have changed
+     * since the receiver's digest, and those that are not in [keys] are gone.
+     */
+    public data class EntriesUpdate(
+        val prefix: String,
+        val upTo: StoreRevision,
+        val entries: List<StoreEntry>,
+        val keys: List<StoreKey>,
+    ) : PeerMessage
 
     /**
      * Asks a customer's budget keeper for up to [demand] requests.
@@ -126,5 +144,8 @@
 /** What an attempt showed of the upstream whose place it used. */
 public enum class PlaceResult { Served, Busy, Refused, Unreachable, Broken, Unused }
 
+/** The latest change under [prefix] that the sender of a [PeerMessage.Digest] knows. */
+public data class PrefixDigest(val prefix: String, val latest: StoreRevision)
+
 /** One pool's entry in a [PeerMessage.Digest]. */
 public data class RecordDigest(val pool: PoolName, val term: Term, val version: RecordVersion)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
@@ -1,7 +1,8 @@
 /*
  * Spreads declarations and ownership records over the fleet. What is new goes along the edges of a tree over the
  * sorted VMs, in both directions, so that each VM sends a bounded number of messages wherever the news began.
- * Anti-entropy behind it repairs what was lost: each VM compares versions with one other VM at a time, in turn.
+ * Anti-entropy behind it repairs what was lost: each VM compares versions with one other VM at a time, in turn. The same
+ * comparison tells VMs that the store turns away which upstreams have registered and which zones are out.
  */
 package cicadagauge.dissemination
 
@@ -14,14 +15,17 @@
 import cicadagauge.node.Timers
 import cicadagauge.ownership.OwnershipRecord
 import cicadagauge.peer.PeerMessage
+import cicadagauge.peer.PrefixDigest
 import cicadagauge.peer.RecordDigest
 import cicadagauge.routing.OwnerDirectory
+import cicadagauge.store.SharedEntries
 
 /** Sends and answers what the VMs tell each other of declarations and records. */
 internal class Disseminator(
     private val vms: VmDirectory,
     private val declarations: DeclarationHolder,
     private val owners: OwnerDirectory,
+    private val shared: List<SharedEntries>,
     private val settings: DisseminationSettings,
     private val timers: Timers,
 ) {
@@ -29,7 +33,7 @@
 
     /** Begins anti-entropy. */
     fun start(now: Moment) {
-        nextPartner()?.let { vms.send(it, PeerMessage.Digest(declarations.version, owners.digest())) }
+        nextPartner()?.let { vms.send(it, digest()) }
         timers.at(now + settings.antiEntropy, ::start)
     }
 
@@ -53,10 +57,22 @@
         owners.records()
             .filter { isNewer(mine.getValue(it.pool), theirs[it.pool]) }
             .forEach { vms.send(vm, PeerMessage.RecordUpdate(it)) }
-        val lacking = digest.declaration > declarations.version || theirs.values.any { isNewer(it, mine[it.pool]) }
-        if (lacking) vms.send(vm, PeerMessage.Digest(declarations.version, owners.digest()))
+        val lacksEntries = compareEntries(vm, digest.prefixes)
+        val lacksRecords = theirs.values.any { isNewer(it, mine[it.pool]) }
+        if (lacksEntries || lacksRecords || digest.declaration > declarations.version) vms.send(vm, digest())
     }
 
+    /** Sends [vm] the entries that it lacks, and returns whether this VM lacks any itself. */
+    private fun compareEntries(vm: Vm, digests: List<PrefixDigest>): Boolean {
+        val theirs = digests.associate { it.prefix to it.latest }
+        shared.forEach { entries ->
+            theirs[entries.prefix]?.let(entries::since)?.let { vms.send(vm, it) }
+        }
+        return shared.any { entries -> theirs[entries.prefix]?.let { it > entries.latest } ?: false }
+    }
+
+    private fun digest() = PeerMessage.Digest(declarations.version, owners.digest(), shared.map { it.digest })
+
     private fun isNewer(one: RecordDigest, other: RecordDigest?): Boolean =
         other == null || one.term > other.term || (one.term == other.term && one.version > other.version)
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -25,6 +25,7 @@
 import cicadagauge.peer.PeerMessage
 import cicadagauge.routing.OwnerDirectory
 import cicadagauge.store.NodeCodecs
+import cicadagauge.store.SharedEntries
 import cicadagauge.store.StoreClient
 import cicadagauge.store.StoreEntry
 import cicadagauge.store.StoreKeys
@@ -48,7 +49,8 @@
     private val budgets: CustomerBudgets = CustomerBudgets(vms, seats, settings.budgets, timers, start)
     private val admission = RequestAdmission(owners, budgets, dispatcher, effects)
     private val declarations = DeclarationHolder(codecs.declarations, effects, ::configure)
-    private val disseminator = Disseminator(vms, declarations, owners, settings.dissemination, timers)
+    private val shared = listOf(StoreKeys.UPSTREAMS, StoreKeys.ZONES_OUT).map(::SharedEntries)
+    private val disseminator = Disseminator(vms, declarations, owners, shared, settings.dissemination, timers)
     private val lease = ProcessLease(store, timers, settings.ownership)
     private val orders = RangeOrders(effects)
     private val registration = settings.registration?.let { vm ->
@@ -74,7 +76,10 @@
         StoreKeys.UPSTREAMS to watchers,
         StoreKeys.STATE to watchers,
         StoreKeys.RECORDS to recordWatchers,
-    ).map { (prefix, which) -> StoreWatcher(prefix, store, which, settings.dissemination, timers, Listener()) }
+    ).map { (prefix, which) ->
+        val passedOn = shared.firstOrNull { it.prefix.startsWith(prefix) }
+        StoreWatcher(prefix, store, which, settings.dissemination, timers, Listener(), passedOn)
+    }
     private var wakeAt = Moment.FUTURE
     private var stopping = false
 
@@ -165,6 +170,7 @@
             is PeerMessage.RecordUpdate -> learn(message.record, from, now)
             is PeerMessage.DeclarationUpdate -> learnDeclaration(message.text, from, now)
             is PeerMessage.Digest -> disseminator.compare(from, message)
+            is PeerMessage.EntriesUpdate -> storeWatchers.forEach { it.adopt(message, now) }
             PeerMessage.Ping -> vms.vm(from)?.let { vms.send(it, PeerMessage.Pong) }
             PeerMessage.Pong -> Unit
             PeerMessage.Leaving -> left(from, now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
@@ -4,6 +4,7 @@
 import cicadagauge.membership.Watchers
 import cicadagauge.node.DisseminationSettings
 import cicadagauge.node.Timers
+import cicadagauge.peer.PeerMessage
 
 /** Learns what changes in the store. */
 internal interface StoreListener {
@@ -17,7 +18,7 @@
 /**
  * Reads the values under [prefix] once at the start and watches them while this VM is one of the [watchers]. Where the
  * store no longer knows the changes since the last answer, everything is read again, and what is missing counts as
- * gone.
+ * gone. Those that are [shared] may also be learned from peers.
  */
 internal class StoreWatcher(
     private val prefix: String,
@@ -26,6 +27,7 @@
     private val settings: DisseminationSettings,
     private val timers: Timers,
     private val listener: StoreListener,
+    val shared: SharedEntries? = null,
 ) {
     private val known = HashSet<StoreKey>()
     private var revision = StoreRevision.ABSENT
@@ -35,6 +37,12 @@
         private set
     private var isCurrent = false
 
+    /** Takes over what a peer knows and this VM doesn't. */
+    fun adopt(update: PeerMessage.EntriesUpdate, now: Moment) {
+        val news = shared?.takeIf { it.prefix == update.prefix }?.adopt(update) ?: return
+        news.forEach { deliver(it, now) }
+    }
+
     /** Begins to read and to watch. */
     fun start(now: Moment) {
         when {
@@ -51,6 +59,7 @@
     }
 
     private fun listed(reply: StoreReply.Listed, now: Moment) {
+        if (shared != null && reply.upTo < shared.latest) shared.forget()
         val present = reply.entries.map { it.key }.toSet()
         val gone = known.filter { it !in present }
         isRead = true
@@ -58,8 +67,8 @@
         revision = reply.upTo
         known.clear()
         known += present
-        listener.snapshot(reply.entries, now)
-        gone.forEach { listener.changed(StoreEntry(it, null, reply.upTo), now) }
+        listener.snapshot(reply.entries.filter(::takeIn), now)
+        gone.map { StoreEntry(it, null, reply.upTo) }.filter(::takeIn).forEach { listener.changed(it, now) }
         start(now)
     }
 
@@ -76,13 +85,18 @@
     private fun take(changes: StoreReply.Changes, now: Moment) {
         if (changes.upTo < revision) return readAgain(now)
         revision = changes.upTo
-        changes.entries.forEach { entry ->
-            if (entry.value == null) known -= entry.key else known += entry.key
-            listener.changed(entry, now)
-        }
+        changes.entries.filter(::takeIn).forEach { deliver(it, now) }
         if (changes.entries.isEmpty()) start(now) else timers.at(now + settings.watchPause, ::start)
     }
 
+    /** Whether [entry] says something that peers have not told this VM before. */
+    private fun takeIn(entry: StoreEntry): Boolean = shared == null || entry.key !in shared || shared.take(entry)
+
+    private fun deliver(entry: StoreEntry, now: Moment) {
+        if (entry.value == null) known -= entry.key else known += entry.key
+        listener.changed(entry, now)
+    }
+
     private fun readAgain(now: Moment) {
         isCurrent = false
         start(now)
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherTest.kt
@@ -45,6 +45,7 @@
         settings = DisseminationSettings(),
         timers = timers,
         listener = listener,
+        shared = SharedEntries(PREFIX),
     )
 
     init {
@@ -60,6 +61,11 @@
         return asked.first().call
     }
 
+    /** What this VM tells [other] at the next comparison. */
+    fun tell(other: Watched) {
+        watcher.shared!!.since(other.watcher.shared!!.latest)?.let { other.watcher.adopt(it, now) }
+    }
+
     fun answer(reply: StoreReply) {
         call()
         store.replied(asked.removeFirst().id, reply, now)
@@ -97,6 +103,37 @@
             watched.values shouldBe mapOf("a" to "1", "b" to "1")
         }
 
+        test("a VM that the store turns away learns from a peer what came, what changed and what went") {
+            val reader = listed()
+            val outcast = listed()
+            outcast.answer(StoreReply.Unavailable)
+            val changes = listOf(entry("c", "cold", 6), entry("a", "draining", 7), entry("b", null, 8))
+            reader.answer(StoreReply.Changes(changes, StoreRevision(8)))
+            reader.tell(outcast)
+            outcast.values shouldBe mapOf("a" to "draining", "c" to "cold")
+        }
+
+        test("what a peer has told is not taken back by older news of the store") {
+            val reader = listed()
+            val outcast = listed()
+            outcast.call()
+            reader.answer(StoreReply.Changes(listOf(entry("c", "1", 6), entry("c", null, 7)), StoreRevision(7)))
+            reader.answer(StoreReply.Changes(listOf(entry("a", "2", 8)), StoreRevision(8)))
+            reader.tell(outcast)
+            outcast.answer(StoreReply.Changes(listOf(entry("c", "1", 6), entry("d", "1", 9)), StoreRevision(9)))
+            outcast.values shouldBe mapOf("a" to "2", "b" to "1", "d" to "1")
+            outcast.tell(reader)
+            reader.values shouldBe outcast.values
+        }
+
+        test("a peer that knows less changes nothing") {
+            val reader = listed()
+            val outcast = listed()
+            reader.answer(StoreReply.Changes(listOf(entry("a", "2", 6)), StoreRevision(6)))
+            outcast.tell(reader)
+            reader.values shouldBe mapOf("a" to "2", "b" to "1")
+        }
+
         test("a store whose revisions fell back is read again") {
             val watched = listed()
             watched.answer(StoreReply.Changes(emptyList(), StoreRevision(2)))
