Prove that an allocator has stopped without waiting for the VM list

Nothing but the list, 3 s late, proved that the old allocator was not renewing the lost upstream's lease without the store. On the users' platform the same wait is up to 18 s for the ranges of a dark zone that had the allocator. Ruled out: shorter waits for the list (it is the platform's), a majority of VMs (a consensus group by another name), promises of any VM (those of a lost zone can't be asked; tried in thought only). Change: renewing beyond the duty lease needs a fresh promise of a VM in another zone that the store does not answer it either. A successor asks all of those until when their promises last (PredecessorProof, TermRaised/TermNoted). Duty lease 0.8 to 0.5 s, grant lease 1.3 to 1.2 s, stagger 100 to 50 ms.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ownership.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ownership.kt
@@ -20,7 +20,8 @@
  *
  * [members] lists the upstreams that may own slots, [exceptions] the slots that an explicit placement moves away
  * from their derived owner. [predecessors] are the allocators of lower terms that are not yet known to have
- * stopped: what they granted may still be held.
+ * stopped: what they granted may still be held. [backedElsewhere] says that all of these allocators renew without the
+ * store only by the word of VMs in other availability zones than their own.
  */
 public data class OwnershipRecord(
     val pool: PoolName,
@@ -32,6 +33,7 @@
     val exceptions: List<SlotException> = emptyList(),
     val predecessors: Set<VmId> = emptySet(),
     val ranges: List<OwnedRange> = emptyList(),
+    val backedElsewhere: Boolean = false,
 ) {
     /** Whether this record replaces [other]: a higher term, or a higher version of the same term. */
     public fun replaces(other: OwnershipRecord?): Boolean =
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -125,6 +125,12 @@
      */
     public data class OutagePromise(val pool: PoolName, val term: Term, val sequence: Long) : PeerMessage
 
+    /** Tells that the [term] of [pool] was raised: nothing is promised to the holders of lower ones any more. */
+    public data class TermRaised(val pool: PoolName, val term: Term) : PeerMessage
+
+    /** Confirms [TermRaised]; what the sender promised to holders of lower terms before ends in [lasting]. */
+    public data class TermNoted(val pool: PoolName, val term: Term, val lasting: Duration) : PeerMessage
+
     /** Asks the receiver for a sign of life. */
     public data object Ping : PeerMessage
 
--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/ownership/OwnershipTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/ownership/OwnershipTest.kt
@@ -25,6 +25,18 @@
             }
         }
 
+        // With these seeds the pool's allocator is lost together with upstreams.
+        for ((name, seed) in listOf("zone-lost" to 2L, "zone-lost" to 4L, "allocator-and-upstream-crashed" to 3L)) {
+            val row = FailureTable.rows.first { it.name == name }
+            test("the keys of $name, seed $seed, are served again in time") {
+                val run = OwnershipBench().run(row, seed)
+                withClue("bin/bench ownership --row $name --first $seed --seeds 1 gave $run") {
+                    run.maxOwners shouldBe 1
+                    run.unavailable shouldBeLessThanOrEqualTo row.limit!!
+                }
+            }
+        }
+
         for (seed in listOf(2L, 3L, 4L, 12L)) {
             test("no slot has two owners, and each has one in the end, through the random faults of seed $seed") {
                 val run = RandomFaults(DeploymentShape.HOSHIZORA, seed, 120.seconds).run()
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
@@ -1,8 +1,8 @@
 /*
  * Spreads declarations and ownership records over the fleet. What is new goes along the edges of a tree over the
  * sorted VMs, in both directions, so that each VM sends a bounded number of messages wherever the news began.
- * Anti-entropy behind it repairs what was lost: each VM compares versions with one other VM at a time, in turn. The same
- * comparison tells VMs that the store turns away which upstreams have registered and which zones are out.
+ * Anti-entropy behind it repairs what was lost: each VM compares versions with one other VM at a time, in turn. The
+ * same comparison tells VMs that the store turns away which upstreams have registered and which zones are out.
  */
 package cicadagauge.dissemination
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
@@ -4,7 +4,6 @@
  */
 package cicadagauge.membership
 
-import cicadagauge.identity.Address
 import cicadagauge.identity.AvailabilityZone
 import cicadagauge.identity.Moment
 import cicadagauge.identity.VmId
@@ -28,7 +27,7 @@
     private val suspects = HashMap<VmId, Moment>()
     private val departing = HashSet<VmId>()
     private val seen = LinkedHashSet<VmId>()
-    private val addresses = HashMap<VmId, Address>()
+    private val lastKnown = HashMap<VmId, Vm>()
     private val missingSince = HashMap<VmId, Moment>()
     private val heard = HashMap<VmId, Moment>()
     private val rankings = HashMap<String, List<Vm>>()
@@ -66,10 +65,25 @@
 
     /** Whether another process runs now where [vm] did. */
     private fun isReplaced(vm: VmId): Boolean {
-        val address = addresses[vm] ?: return false
+        val address = lastKnown[vm]?.address ?: return false
         return all.any { it.id != vm && it.address == address }
     }
 
+    /** Whether VMs of more than one availability zone were ever listed. */
+    val hasSeveralZones: Boolean get() = lastKnown.values.any { it.zone != zone }
+
+    /**
+     * The VMs whose promises may back what [vm] renews without the store, and that may be running still. Those of its
+     * own availability zone don't count where it relies on [elsewhere] only. Null where [vm] was never listed here.
+     */
+    fun backersOf(vm: VmId, elsewhere: Boolean, aliveAt: Moment, lag: Duration, now: Moment): List<Vm>? {
+        val ownZone = lastKnown[vm]?.zone ?: return null
+        return lastKnown.values.filter { other ->
+            val mayCount = !elsewhere || other.zone != ownZone
+            mayCount && other.id != vm && other.id != self && !isGone(other.id, aliveAt, lag, now)
+        }
+    }
+
     /** When the platform's list was last received. */
     var updatedAt: Moment = Moment.PAST
         private set
@@ -92,12 +106,12 @@
         missingSince.keys.removeAll(vms.keys)
         seen.forEach { if (it !in vms) missingSince.putIfAbsent(it, now) }
         seen += vms.keys
-        list.associateTo(addresses) { it.id to it.address }
+        list.associateByTo(lastKnown) { it.id }
         while (seen.size > MAX_SEEN) {
             seen.first().let {
                 seen.remove(it)
                 missingSince.remove(it)
-                addresses.remove(it)
+                lastKnown.remove(it)
             }
         }
         forgetRankings()
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -177,6 +177,8 @@
             is PeerMessage.Heat -> duties.heated(message, now)
             is PeerMessage.OutageQuery -> duties.promise(from, message, now)
             is PeerMessage.OutagePromise -> duties.promised(from, message)
+            is PeerMessage.TermRaised -> duties.termRaised(from, message, now)
+            is PeerMessage.TermNoted -> duties.termNoted(from, message, now)
             is PeerMessage.Yield -> duties.yieldTo(from, message, now)
             is PeerMessage.Yielded -> duties.yielded(from, message, now)
         }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -24,13 +24,13 @@
  * measured. [lease] must outlast [dutyLease] and a takeover, or losing an allocator would interrupt service.
  */
 public data class OwnershipSettings(
-    val lease: Duration = 1_300.milliseconds,
+    val lease: Duration = 1_200.milliseconds,
     val renewal: Duration = 200.milliseconds,
     val transition: Duration = 25.milliseconds,
     val suspicion: Duration = 600.milliseconds,
-    val dutyLease: Duration = 800.milliseconds,
-    val dutyRenewal: Duration = 200.milliseconds,
-    val standbyStagger: Duration = 100.milliseconds,
+    val dutyLease: Duration = 500.milliseconds,
+    val dutyRenewal: Duration = 125.milliseconds,
+    val standbyStagger: Duration = 50.milliseconds,
     val warmUpStep: Duration = 1.seconds,
     val pace: Duration = 200.milliseconds,
     val storeOut: Duration = 1.seconds,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/Allocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/Allocator.kt
@@ -6,6 +6,7 @@
 import cicadagauge.identity.Term
 import cicadagauge.identity.VmId
 import cicadagauge.peer.PeerMessage
+import kotlin.time.Duration
 
 /** Decides who owns what in one keyed pool, while this VM holds the pool's duty under [term]. */
 internal interface Allocator {
@@ -24,6 +25,9 @@
     /** The allocator of a lower term, on [vm], has stopped. */
     fun predecessorStopped(vm: VmId, now: Moment)
 
+    /** VM [vm] backs no lower term any more once [lasting] has passed. */
+    fun termNoted(vm: VmId, lasting: Duration, now: Moment)
+
     /** Gives no further order. */
     fun stop()
 }
@@ -36,6 +40,12 @@
      */
     fun confirmedSince(now: Moment): Moment?
 
+    /**
+     * Whether what was granted may be renewed at [now]: the store says that the duty is held, or a VM that gets no
+     * answer from the store either has promised to leave the duty alone.
+     */
+    fun mayRenew(now: Moment): Boolean
+
     /** Whether the store has not answered for so long that losses are handled without it. */
     fun isStoreOut(now: Moment): Boolean
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -18,6 +18,7 @@
 import cicadagauge.store.RecordCodec
 import cicadagauge.store.StoreClient
 import cicadagauge.store.StoreRevision
+import kotlin.time.Duration
 
 /** What all duties of one VM share. */
 internal class DutySurroundings(
@@ -94,11 +95,22 @@
         duties[message.pool]?.allocator?.takeIf { it.term == message.term }?.predecessorStopped(from, now)
     }
 
+    /** Takes note that [from] holds a higher term, and says how long what was promised to lower ones lasts. */
+    fun termRaised(from: VmId, message: PeerMessage.TermRaised, now: Moment) {
+        val lasting = duties[message.pool]?.promises?.termRaised(message.term, now) ?: Duration.ZERO
+        vms.vm(from)?.let { vms.send(it, PeerMessage.TermNoted(message.pool, message.term, lasting)) }
+    }
+
+    /** Takes the confirmation that [from] backs no lower term. */
+    fun termNoted(from: VmId, message: PeerMessage.TermNoted, now: Moment) {
+        duties[message.pool]?.allocator?.takeIf { it.term == message.term }?.termNoted(from, message.lasting, now)
+    }
+
     /** Promises to leave a duty alone, where this VM gets no answer from the store either. */
     fun promise(from: VmId, message: PeerMessage.OutageQuery, now: Moment) {
-        val duty = duties[message.pool]
-        if (duty != null && !duty.mayPromise(message.term, now)) return
-        duty?.promise(now)
+        val duty = duties[message.pool] ?: return
+        if (!duty.mayPromise(message.term, now)) return
+        duty.promises.make(now)
         vms.vm(from)?.let { vms.send(it, PeerMessage.OutagePromise(message.pool, message.term, message.sequence)) }
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/OutageWitness.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/OutageWitness.kt
@@ -1,8 +1,9 @@
 /*
  * Certainty without the store. When the store answers nobody, no term can be raised, and the allocator of a pool may
- * go on deciding. It asks every other VM: each one that gets no answer from the store either, and holds no higher
+ * go on deciding. It asks every other VM: each one that gets no answer from the store either, and knows no higher
  * term, promises to leave the duty alone for a while. Nothing is stored or voted on; with one promise missing there is
- * no certainty, and no slot moves.
+ * no certainty, and no slot moves. For renewing what was granted one promise of a VM in another availability zone is
+ * enough: a successor asks all of those until when their promises last.
  */
 package cicadagauge.ownership
 
@@ -23,10 +24,13 @@
     private val promisedUntil = HashMap<VmId, Moment>()
     private val askedAt = HashMap<Long, Moment>()
     private var sequence = 0L
+    private var lastAsked = Moment.PAST
     private var since: Moment? = null
 
-    /** Asks every other VM to promise anew. */
+    /** Asks every other VM to promise anew, where the last question is old enough. */
     fun ask(term: Term, now: Moment) {
+        if (now < lastAsked + settings.renewal) return
+        lastAsked = now
         sequence++
         askedAt[sequence] = now
         askedAt.keys.removeIf { it <= sequence - MAX_OPEN_QUERIES }
@@ -47,6 +51,17 @@
         return since
     }
 
+    /** Whether a VM whose word is enough for renewals keeps its promise at [now]. */
+    fun isBacked(now: Moment): Boolean {
+        val listIsFresh = vms.updatedAt + settings.listLag > now
+        val several = vms.hasSeveralZones
+        return listIsFresh &&
+            vms.peers.any { peer ->
+                val counts = !several || peer.zone != vms.zone
+                counts && (promisedUntil[peer.id] ?: Moment.PAST) > now
+            }
+    }
+
     private companion object {
         const val MAX_OPEN_QUERIES = 32
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
@@ -17,8 +17,8 @@
 import cicadagauge.node.OwnershipSettings
 import cicadagauge.node.StateChange
 import cicadagauge.node.Timers
-import cicadagauge.peer.PeerMessage
 import cicadagauge.routing.OwnerTable
+import kotlin.time.Duration
 
 /** The allocator of [pool] under [term]. [initial] is the record that its term was written with. */
 internal class PoolAllocator(
@@ -39,7 +39,8 @@
     private var before = table
     private var shrinkingSince = start
     private val claimUntil = start + settings.renewal
-    private var unproven = initial.predecessors
+    private val proof =
+        PredecessorProof(initial, vms, settings, start, ::predecessorsStopped)
     private val settlingTime = settings.lease * (1 + 2 * settings.clockDrift)
     private val fresh = initial.predecessors.isEmpty()
     private val reachable = HashSet<UpstreamId>()
@@ -82,12 +83,9 @@
         if (state != State.Steady) advance(now)
     }
 
-    override fun predecessorStopped(vm: VmId, now: Moment) {
-        if (vm !in unproven) return
-        unproven = unproven - vm
-        if (unproven.isEmpty()) proveAll(now)
-        advance(now)
-    }
+    override fun predecessorStopped(vm: VmId, now: Moment): Unit = proof.stopped(vm, at = now, now = now)
+
+    override fun termNoted(vm: VmId, lasting: Duration, now: Moment): Unit = proof.noted(vm, lasting, now)
 
     override fun stop() {
         stopped = true
@@ -98,13 +96,14 @@
         context.lost(now)
     }
 
-    private fun proveAll(now: Moment) {
-        holders.values.forEach { it.proveLapse(now + settlingTime) }
+    private fun predecessorsStopped(at: Moment, now: Moment) {
+        holders.values.forEach { it.proveLapse(at + settlingTime) }
+        advance(now)
     }
 
     private fun tick(now: Moment) {
         if (stopped) return
-        seekProof(now)
+        proof.seek(now)
         for (holder in holders.values) {
             if (holder.isSilent(now) && holder.lastHeard != Moment.PAST) noteReachable(holder, false)
             send(holder, now)
@@ -113,17 +112,6 @@
         timers.at(now + if (state == State.Steady) settings.renewal else settings.transition, ::tick)
     }
 
-    /** Asks predecessors to confirm that they have stopped; one that is listed no longer has. */
-    private fun seekProof(now: Moment) {
-        for (vm in unproven) {
-            val listed = vms.vm(vm)
-            when {
-                vm == vms.self || vms.isGone(vm, start, settings.listLag, now) -> predecessorStopped(vm, now)
-                listed != null -> vms.send(listed, PeerMessage.Yield(pool.name, term))
-            }
-        }
-    }
-
     /**
      * Every decision about owners needs certainty that no higher term exists: another allocator could extend a
      * lease that this one takes for lapsed.
@@ -159,9 +147,12 @@
         if (unsaved && !storeOut) return save()
         val members = planner.plan(record.members, pool, declaration, holders, lossesOnly = storeOut, now = now)
         val isProved = holders.values.all { it.claimed || it.hasLapsed(now) }
-        val predecessors = if (isProved) emptySet() else record.predecessors
-        if (members == record.members && predecessors == record.predecessors) return
-        put(record.copy(version = record.version.next(), members = members, predecessors = predecessors), now)
+        val planned = record.copy(
+            members = members,
+            predecessors = if (isProved) emptySet() else record.predecessors,
+            backedElsewhere = record.backedElsewhere || (isProved && vms.hasSeveralZones),
+        )
+        if (planned != record) put(planned.copy(version = record.version.next()), now)
     }
 
     /** Writes a record that came into force during an outage. */
@@ -220,7 +211,12 @@
 
     private fun send(holder: HolderState, now: Moment) {
         val confirmed = context.confirmedSince(now) != null
-        effects.add(Effect.SendGrant(holder.address, holder.order(pool.name, term, record.members, confirmed, now)))
+        val order = if (context.mayRenew(now)) {
+            holder.order(pool.name, term, record.members, confirmed, now)
+        } else {
+            GrantOrder.Claim(pool.name, holder.upstream, term)
+        }
+        effects.add(Effect.SendGrant(holder.address, order))
     }
 
     private fun noteReachable(holder: HolderState, isReachable: Boolean) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
@@ -46,8 +46,9 @@
     private var keyRevision = StoreRevision.ABSENT
     private var recordRevision = StoreRevision.ABSENT
     private var heldSince: Moment? = null
-    private var promisedUntil = Moment.PAST
-    private var askedAt = Moment.PAST
+
+    /** What this VM has promised to the others. */
+    val promises = DutyPromises(pool.name, vms, surroundings.owners, settings)
 
     /** The other VMs' promises. */
     val witness = OutageWitness(pool.name, vms, settings)
@@ -76,12 +77,8 @@
     /** Whether this VM may promise to leave the duty to the holder of [term]. */
     fun mayPromise(term: Term, now: Moment): Boolean {
         val own = allocator
-        return !busy && (own == null || own.term < term) && isStoreOut(now)
-    }
-
-    /** Leaves the duty alone for the promise time. */
-    fun promise(now: Moment) {
-        promisedUntil = maxOf(promisedUntil, now + settings.outagePromise)
+        val isHigher = own == null || own.term < term
+        return !busy && isHigher && promises.mayServe(term, now) && isStoreOut(now)
     }
 
     /** Takes the duty if it is vacant and every VM that ranks before this one has had its chance. */
@@ -91,7 +88,7 @@
         val since = vacantSince ?: return
         val rank = rank()
         if (rank < 0) return
-        val due = maxOf(since + settings.standbyStagger * rank, promisedUntil, knownLongEnough())
+        val due = maxOf(since + settings.standbyStagger * rank, promises.until, knownLongEnough())
         if (now < due) return timers.at(due, ::consider)
         lease.want(now)
         if (lease.id == null) return timers.at(now + settings.storeRetry, ::consider)
@@ -102,6 +99,7 @@
 
     /** The key is this VM's by a write whose answer was lost. */
     private fun resume(now: Moment) {
+        if (now < promises.until) return timers.at(promises.until, ::consider)
         busy = true
         keyTaken(seenRevision, now)
     }
@@ -216,6 +214,7 @@
         allocator = vms.self,
         slots = pool.slots,
         members = if (pool.placement == Placement.Ranges) emptyList() else firstMembers(),
+        backedElsewhere = vms.hasSeveralZones,
     )
 
     private fun firstMembers() = pool.upstreams.map { upstream ->
@@ -231,6 +230,7 @@
             allocator = vms.self,
             predecessors = record.predecessors + record.allocator,
             ranges = record.ranges.map { it.copy(fence = version) },
+            backedElsewhere = record.backedElsewhere && vms.hasSeveralZones,
         )
     }
 
@@ -273,13 +273,16 @@
         val term = allocator?.term
         if (now < lease.validUntil && !busy) return heldSince
         if (term == null || !isStoreOut(now)) return null
-        if (now >= askedAt + settings.renewal) {
-            askedAt = now
-            witness.ask(term, now)
-        }
+        witness.ask(term, now)
         return witness.certainSince(now)
     }
 
+    override fun mayRenew(now: Moment): Boolean {
+        if (now < lease.validUntil && !busy && heldSince != null) return true
+        allocator?.let { witness.ask(it.term, now) }
+        return witness.isBacked(now)
+    }
+
     override val storeAnsweredAt: Moment get() = store.lastAnswer
 
     override fun isStoreOut(now: Moment): Boolean = store.lastAnswer + settings.storeOut < now
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
@@ -19,6 +19,7 @@
 import cicadagauge.node.StateChange
 import cicadagauge.node.Timers
 import cicadagauge.peer.PeerMessage
+import kotlin.time.Duration
 
 /** The allocator of [pool]'s ranges. [initial] is the record that its term was written with. */
 internal class RangeAllocator(
@@ -34,7 +35,6 @@
     private val start: Moment,
 ) : Allocator {
     private val times = settings.ranges
-    private val listLag = settings.listLag
     private val heldFor = times.hold * (1 + times.upstreamDrift) * (1 + settings.clockDrift)
     private val settling = heldFor + times.orderTime
     private val heat = RangeHeat(pool.slots, start)
@@ -42,7 +42,8 @@
     private val doubted = DoubtedOwners(pool.name, orders, times)
     private var record = initial
     private var tracks = emptyList<RangeTrack>()
-    private var unproven = initial.predecessors
+    private val proof =
+        PredecessorProof(initial, vms, settings, start, ::predecessorsStopped)
     private var isWriting = false
     private var isStopped = false
     private var plannedAt = Moment.PAST
@@ -52,7 +53,7 @@
     override val term = initial.term
 
     init {
-        val lapse = if (unproven.isEmpty()) start + settling else Moment.FUTURE
+        val lapse = if (initial.predecessors.isEmpty()) start + settling else Moment.FUTURE
         tracks = initial.ranges.map { RangeTrack(it, lapsesAt = lapse, formerLapsesAt = lapse) }
         tick(start)
     }
@@ -64,10 +65,12 @@
 
     override fun heated(report: PeerMessage.Heat, now: Moment): Unit = heat.add(report.buckets, report.times, now)
 
-    override fun predecessorStopped(vm: VmId, now: Moment) {
-        if (vm !in unproven) return
-        unproven = unproven - vm
-        if (unproven.isEmpty()) tracks.forEach { it.proveLapse(now + settling) }
+    override fun predecessorStopped(vm: VmId, now: Moment): Unit = proof.stopped(vm, at = now, now = now)
+
+    override fun termNoted(vm: VmId, lasting: Duration, now: Moment): Unit = proof.noted(vm, lasting, now)
+
+    private fun predecessorsStopped(at: Moment, @Suppress("UNUSED_PARAMETER") now: Moment) {
+        tracks.forEach { it.proveLapse(at + settling) }
     }
 
     override fun stop() {
@@ -76,31 +79,24 @@
 
     private fun tick(now: Moment) {
         if (isStopped) return
-        seekProof(now)
-        if (now < context.storeAnsweredAt + times.storelessRenewal) tracks.forEach { advance(it, now) }
+        proof.seek(now)
+        tracks.forEach { advance(it, now) }
         decide(now)
         timers.at(now + times.tick, ::tick)
     }
 
-    /** Asks predecessors to confirm that they have stopped; one that has gone has stopped. */
-    private fun seekProof(now: Moment) {
-        for (vm in unproven) {
-            val listed = vms.vm(vm)
-            when {
-                vm == vms.self || vms.isGone(vm, start, listLag, now) -> predecessorStopped(vm, now)
-                listed != null -> vms.send(listed, PeerMessage.Yield(pool.name, term))
-            }
-        }
-    }
-
     /** Sends the next order about [track], if one is due. */
     private fun advance(track: RangeTrack, now: Moment) {
         if (isStopped || track.isBusy || now < track.nextOrder || track.isLost(now, times.silence)) return
+        if (!mayOrder(now)) return
         val restarted = restartedOwnerOf(track)
         if (restarted != null) return track.ownerRestarted(restarted)
         if (track.isVacated(now)) grant(track) else release(track)
     }
 
+    private fun mayOrder(now: Moment): Boolean =
+        now < context.storeAnsweredAt + times.storelessRenewal && context.mayRenew(now)
+
     /** The owner in its present run, where it has registered itself in another one than it was granted the range in. */
     private fun restartedOwnerOf(track: RangeTrack): RangeOwner? {
         val owner = track.range.owner
@@ -168,10 +164,14 @@
         val next = record.version.next()
         val planned = if (isTimeToPlan(now)) plan(next, now) else tracks.map { it.range }
         val isProved = tracks.all { it.isVacated(now) && (it.isClaimed || now >= it.lapsesAt) }
-        val predecessors = if (isProved) emptySet() else record.predecessors
-        if (planned == record.ranges && predecessors == record.predecessors) return
+        val wanted = record.copy(
+            ranges = planned,
+            predecessors = if (isProved) emptySet() else record.predecessors,
+            backedElsewhere = record.backedElsewhere || (isProved && vms.hasSeveralZones),
+        )
+        if (wanted == record) return
         isWriting = true
-        val changed = record.copy(version = next, ranges = planned, predecessors = predecessors)
+        val changed = wanted.copy(version = next)
         context.write(changed) { saved, moment ->
             isWriting = false
             if (saved && !isStopped) inForce(changed, moment)
--- /dev/null
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/PredecessorProofTest.kt
@@ -0,0 +1,104 @@
+package cicadagauge.ownership
+
+import cicadagauge.identity.Address
+import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.Moment
+import cicadagauge.identity.PoolName
+import cicadagauge.identity.RecordVersion
+import cicadagauge.identity.Term
+import cicadagauge.identity.VmId
+import cicadagauge.membership.Vm
+import cicadagauge.membership.VmDirectory
+import cicadagauge.node.Effect
+import cicadagauge.node.Effects
+import cicadagauge.node.OwnershipSettings
+import cicadagauge.peer.PeerMessage
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val START = Moment.ZERO + 100.seconds
+
+/** A successor on VM `new` that wants to know when the allocator on VM `old`, in zone `a`, gave its last order. */
+private class Succession(backedElsewhere: Boolean = true) {
+    private val effects = Effects()
+    private val vms = VmDirectory(VmId("new"), AvailabilityZone("b"), effects)
+    private val initial = OwnershipRecord(
+        pool = PoolName("p"),
+        term = Term.NONE.next(),
+        version = RecordVersion.NONE.next(),
+        allocator = VmId("new"),
+        slots = 4,
+        members = emptyList(),
+        predecessors = setOf(VmId("old")),
+        backedElsewhere = backedElsewhere,
+    )
+    var stoppedAt: Moment? = null
+    val proof = PredecessorProof(initial, vms, OwnershipSettings(clockDrift = 0.0), START) { at, _ -> stoppedAt = at }
+
+    init {
+        list("old" to "a", "beside" to "a", "new" to "b", "other" to "b", "third" to "c")
+    }
+
+    fun list(vararg present: Pair<String, String>) = vms.update(
+        present.map { (id, zone) -> Vm(VmId(id), Address(id, 1), Address(id, 1), AvailabilityZone(zone)) },
+        START,
+    )
+
+    /** Seeks proof and returns who was asked to note the new term. */
+    fun asked(): List<String> {
+        proof.seek(START)
+        return effects.take().filterIsInstance<Effect.SendPeer>()
+            .filter { it.message is PeerMessage.TermRaised }.map { it.to.value }
+    }
+
+    fun noted(vm: String, lasting: Duration = Duration.ZERO) = proof.noted(VmId(vm), lasting, START)
+}
+
+class PredecessorProofTest :
+    FunSpec({
+        test("all VMs outside of the predecessor's zone are asked, and no others") {
+            Succession().asked() shouldContainExactlyInAnyOrder listOf("other", "third")
+        }
+
+        test("a predecessor that nobody backs gave its last order before the term began") {
+            val succession = Succession()
+            succession.asked()
+            succession.noted("other")
+            succession.stoppedAt.shouldBeNull()
+            succession.noted("third")
+            succession.stoppedAt shouldBe START
+        }
+
+        test("a promise that still lasts is waited for") {
+            val succession = Succession()
+            succession.noted("other", lasting = 700.milliseconds)
+            succession.noted("third")
+            succession.stoppedAt shouldBe START + 700.milliseconds
+        }
+
+        test("a VM that has left the list for good is not waited for") {
+            val succession = Succession()
+            succession.noted("other")
+            succession.list("old" to "a", "beside" to "a", "new" to "b", "other" to "b")
+            succession.asked()
+            succession.stoppedAt.shouldNotBeNull()
+        }
+
+        test("where VMs of its own zone may back the predecessor they are asked too") {
+            Succession(backedElsewhere = false).asked() shouldContainExactlyInAnyOrder
+                listOf("beside", "other", "third")
+        }
+
+        test("a predecessor that says so has stopped, whoever backs it") {
+            val succession = Succession()
+            succession.noted("other", lasting = 2.seconds)
+            succession.proof.stopped(VmId("old"), at = START + 10.milliseconds, now = START + 10.milliseconds)
+            succession.stoppedAt shouldBe START + 10.milliseconds
+        }
+    })
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeAllocatorTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeAllocatorTest.kt
@@ -55,6 +55,13 @@
             world.served() shouldBe WORLD_SLOTS
         }
 
+        test("an allocator whose duty neither the store nor another VM vouches for renews nothing") {
+            val world = settledWorld()
+            world.allocators.first().isBacked = false
+            world.run(4.seconds)
+            world.served() shouldBe 0
+        }
+
         test("a paused allocator that was replaced takes nothing back when it goes on") {
             val world = settledWorld()
             val first = world.allocators.first()
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeWorld.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeWorld.kt
@@ -191,6 +191,7 @@
         private var answeredAt = Moment(now)
         private var isOver = false
         var reachesStore = true
+        var isBacked = true
         private val pool get() = Pool(
             name = PoolName("p"),
             upstreams = upstreams.filter { it.isUp }.map { it.registered },
@@ -259,6 +260,8 @@
 
         override fun confirmedSince(now: Moment): Moment? = Moment.ZERO.takeIf { reachesStore && store.isUp }
 
+        override fun mayRenew(now: Moment): Boolean = isBacked
+
         override fun isStoreOut(now: Moment): Boolean = !reachesStore || !store.isUp
 
         override val storeAnsweredAt: Moment get() = answeredAt
