Take the seats of earlier processes over where no VM has seen them

Cause: each process asks for a seat, and a seat stays until its VM is known to have stopped. That a new process at the same address proves it was only seen by VMs that had the old one on their list. Change: a seat is written with its VM's address, and a process drops the seats of its own address, once the waivers of the process before have run out. Tests: SeatHolderTest, three new ones; the first gave 6 seats for 3 VMs.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -45,7 +45,7 @@
     private val owners = OwnerDirectory()
     private val inventory = Inventory(store, timers, settings.dissemination.registrationGrace, ::equip)
     private val dispatcher = Dispatcher(vms, owners, settings.dispatch, timers, effects, inventory::coldUntil)
-    private val seats = SeatHolder(vms, store, timers, settings.budgets) { budgets.share(it) }
+    private val seats = SeatHolder(vms, store, timers, settings.budgets, start) { budgets.share(it) }
     private val budgets: CustomerBudgets = CustomerBudgets(vms, seats, settings.budgets, timers, start)
     private val admission = RequestAdmission(owners, budgets, dispatcher, effects)
     private val declarations = DeclarationHolder(codecs.declarations, effects, ::configure)
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/admission/SeatHolderTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/admission/SeatHolderTest.kt
@@ -47,7 +47,7 @@
     private val store = StoreClient(effects)
     private val timers = Timers()
     private val vms = VmDirectory(self.id, self.zone, effects, absence = 15.seconds)
-    val holder = SeatHolder(vms, store, timers, BudgetSettings(seatLag = 15.seconds)) {}
+    val holder = SeatHolder(vms, store, timers, BudgetSettings(seatLag = 15.seconds), start = Moment.ZERO) {}
     private var now = Moment.ZERO
 
     init {
@@ -99,10 +99,38 @@
             val first = vm("a@1", address = "a")
             Seat(first, emptyList(), store)
             val next = Seat(vm("a@2", address = "a"), seenBefore = listOf(first), shared = store)
+            repeat(3) { next.run() }
             next.told()
             next.holder.count shouldBe 1
         }
 
+        test("seats of processes that nobody has seen on a list are taken over by those that run there now") {
+            val store = SeatStore()
+            val names = listOf("a", "b", "c")
+            names.forEach { Seat(vm("$it@1", address = it), emptyList(), store) }
+            val restarted = names.map { Seat(vm("$it@2", address = it), emptyList(), store) }
+            repeat(3) { restarted.forEach { it.run() } }
+            restarted.forEach { it.told() }
+            restarted.map { it.holder.count } shouldBe listOf(3, 3, 3)
+        }
+
+        test("a seat that was taken over is used once the waivers of the process before have run out") {
+            val store = SeatStore()
+            Seat(vm("a@1", address = "a"), emptyList(), store)
+            val next = Seat(vm("a@2", address = "a"), emptyList(), store)
+            next.holder.usableFrom shouldBe Moment.FUTURE
+            repeat(3) { next.run() }
+            (next.holder.usableFrom <= Moment.ZERO + 4.seconds) shouldBe true
+        }
+
+        test("a seat that an earlier version wrote has no address and is kept") {
+            val store = SeatStore()
+            store.entry = StoreEntry(StoreKeys.SEATS, "a,b", StoreRevision.ABSENT)
+            val seat = Seat(vm("c"), emptyList(), store)
+            seat.told()
+            seat.holder.count shouldBe 3
+        }
+
         test("a VM whose seat was given away stops to use it") {
             val store = SeatStore()
             val seat = Seat(vm("a"), emptyList(), store)
