Open the callers' port once there is a declaration

Cause: after the loss of all VMs callers come back by the hundred while a VM still loads its code; each was answered that there is no configuration. Change: where callers have a port of their own it is bound when the declaration is in force, or after 3 s: from then on a VM says that it knows none. Kept, since a refused connection costs neither side anything.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -16,6 +16,8 @@
 import cicadagauge.gateway.metrics.GatewayMetrics
 import cicadagauge.gateway.upstream.UpstreamConnections
 import cicadagauge.identity.Address
+import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.Moment
 import cicadagauge.node.DefaultNode
 import cicadagauge.node.Effect
 import cicadagauge.node.Event
@@ -23,6 +25,7 @@
 import cicadagauge.store.Json
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -54,7 +57,7 @@
     private val readiness = settings.readiness?.let { JsonHttpServer(group, it, handler::open) }
     private val callers = DefaultChannelGroup(loop)
     private val handedOver = CompletableFuture<Unit>()
-    private var listeners = emptyList<Channel>()
+    @Volatile private var listeners = emptyList<Channel>()
 
     /** Binds both ports and begins to work; throws where a port can't be bound. */
     public fun start(): Gateway {
@@ -62,16 +65,38 @@
         driver.effects = EffectHandler(::carryOut)
         control.start()
         readiness?.start()
-        listeners = setOf(settings.callers, settings.relays).map(::listen)
+        listeners += listen(settings.relays)
         loop.execute {
             driver.submit(Event.Started)
             pulse.start(loop)
             links.start()
             log.write("started", "callers" to settings.callers, "zone" to settings.node.zone)
+            if (settings.callers != settings.relays) openWhenUseful(until = MonotonicClock.now() + settings.openLimit)
         }
         return this
     }
 
+    /**
+     * Listens to callers once there is a declaration, or at [until]. After the loss of all VMs callers come back by the
+     * hundred while this process still loads its code; a refused connection sends them on and costs nothing.
+     */
+    private fun openWhenUseful(until: Moment) {
+        if (group.isShuttingDown || registry.draining) return
+        if (status().declaration == DeclarationVersion.NONE && MonotonicClock.now() < until) {
+            loop.schedule({ openWhenUseful(until) }, POLL_MILLIS, TimeUnit.MILLISECONDS)
+            return
+        }
+        bind(settings.callers).addListener { bound ->
+            if (bound.isSuccess) {
+                listeners += (bound as ChannelFuture).channel()
+                log.write("open", "callers" to settings.callers)
+            } else {
+                log.write("open-failed", "callers" to settings.callers, "cause" to bound.cause())
+                loop.schedule({ openWhenUseful(until) }, REBIND_MILLIS, TimeUnit.MILLISECONDS)
+            }
+        }
+    }
+
     /** What operators may see of this VM. Call it on the event loop, or by [statusNow] from elsewhere. */
     private fun status(): NodeStatus = node.status(MonotonicClock.now())
 
@@ -115,12 +140,14 @@
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    private fun listen(address: Address): Channel =
+    private fun listen(address: Address): Channel = bind(address).sync().channel()
+
+    private fun bind(address: Address): ChannelFuture =
         ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(Initializer(takesRelays = address == settings.relays))
-            .bind(address.host, address.port).sync().channel()
+            .bind(address.host, address.port)
 
     private fun carryOut(effect: Effect) {
         when (effect) {
@@ -162,6 +189,7 @@
 
     private companion object {
         const val POLL_MILLIS = 5L
+        const val REBIND_MILLIS = 100L
         const val SHUTDOWN_MILLIS = 200L
     }
 }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
@@ -9,7 +9,8 @@
 /**
  * What one gateway process is told at its start. Other VMs relay requests to [relays], which may be the callers' port.
  * With [readiness] there is one more port that tells health, readiness and metrics. [secret] proves VMs to each other
- * and to upstreams.
+ * and to upstreams. Where callers have a port of their own it is opened once there is a declaration, or after
+ * [openLimit]: from then on callers are told that there is none.
  */
 public data class GatewaySettings(
     val node: NodeSettings,
@@ -22,6 +23,7 @@
     val upstreams: UpstreamLimits = UpstreamLimits(),
     val platform: PlatformTimes = PlatformTimes(),
     val stop: StopTimes = StopTimes(),
+    val openLimit: Duration = 3.seconds,
 )
 
 /** Times of a planned stop: [announce] is how long it goes on taking requests, so that callers are sent elsewhere. */
