Send nothing on whose time ran out while the process stood still

A request on a new connection is accepted in one turn of the loop and read in the next; the beat between them made the stall invisible. And a request whose connection to the upstream took until after its deadline was sent all the same. Ruled out: the clients (they leave at the deadline that they sent). Change: what is read within 50 ms after a stall counts as having waited for it; an attempt looks at the deadline again right before it writes. The check 'lag is zero after a beat' in LoopPulseTest demanded the fault; it is replaced by 'zero once the aftermath is over' and a new test of the case.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/LoopPulse.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/LoopPulse.kt
@@ -7,11 +7,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Notices when an event loop stands still or falls behind. What it reads then has been waiting for up to [lag], which
- * counts against the caller's deadline: a caller that has left long ago must not have its request run.
+ * Notices when an event loop stands still or falls behind. What it reads then, and right after it, has been waiting for
+ * up to [lag], which counts against the caller's deadline: a caller that has left long ago must not have its request
+ * run. A new connection is accepted in one turn of the loop and read in the next, so the beat between hides nothing.
  */
 internal class LoopPulse(private val clock: () -> Moment = MonotonicClock::now) {
     private var lastBeat = clock()
+    private var stall = Duration.ZERO
+    private var stallEnd = Moment.PAST
 
     /** Begins to beat on [loop]. */
     fun start(loop: EventLoop) {
@@ -26,18 +29,33 @@
 
     /** Notes that the loop is running. */
     fun beat() {
-        lastBeat = clock()
+        val now = clock()
+        val late = overdue(now)
+        if (late > Duration.ZERO) {
+            stall = late
+            stallEnd = now
+        }
+        lastBeat = now
     }
 
     /** How long the loop has been behind; nothing where a beat is not overdue. */
     fun lag(): Duration {
-        val since = clock() - lastBeat
+        val now = clock()
+        val recent = if (now < stallEnd + AFTERMATH) stall else Duration.ZERO
+        return maxOf(overdue(now), recent)
+    }
+
+    private fun overdue(now: Moment): Duration {
+        val since = now - lastBeat
         return if (since <= PERIOD * TOLERANCE) Duration.ZERO else since - PERIOD
     }
 
     private companion object {
         val PERIOD = 50.milliseconds
 
+        /** A few turns of a loop that runs again. */
+        val AFTERMATH = 50.milliseconds
+
         /** Timers fire slightly late. */
         const val TOLERANCE = 2
     }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
@@ -35,8 +35,9 @@
 
     override val isWritable: Boolean get() = channel?.isWritable ?: true
 
-    /** Sends the request over [connection]. */
+    /** Sends the request over [connection], unless its time ran out while that was being made. */
     fun begin(connection: Channel) {
+        if (!finished && MonotonicClock.now() >= hop.deadline) end(AttemptOutcome.NotRun(NotRunCause.Unreachable))
         if (finished) {
             pool.keep(connection)
             return
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/LoopPulseTest.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/LoopPulseTest.kt
@@ -16,6 +16,16 @@
             now += 640.milliseconds
             pulse.lag() shouldBe 650.milliseconds
             pulse.beat()
+            now += 60.milliseconds
             pulse.lag() shouldBe Duration.ZERO
         }
+
+        test("a connection that is accepted right after a stall, and read in the next turn, has been waiting as well") {
+            var now = Moment.ZERO
+            val pulse = LoopPulse { now }
+            now += 1_400.milliseconds
+            pulse.beat()
+            now += 2.milliseconds
+            pulse.lag() shouldBe 1_350.milliseconds
+        }
     })
