Expect no more of an upstream than it may be given now

Ruled out: stalls (they are refused), relays (the home's own queue shows it). Change: the wait is computed from what each upstream finishes in a second now (cold rate, present slowness), with pauses and the time until a place is free; a queue is gone through every 10 ms and those that can't be served in time any more are refused then. Tests: SchedulerTest, two new ones; before, ten requests for a cold upstream were all kept waiting where four can be served.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TokenBucket.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TokenBucket.kt
@@ -6,9 +6,13 @@
 import kotlin.time.DurationUnit
 
 /** Tokens that accrue at [rate] a second up to [capacity]. It starts empty at [since]. */
-internal class TokenBucket(private var rate: Double, private var capacity: Double, private var since: Moment) {
+internal class TokenBucket(rate: Double, private var capacity: Double, private var since: Moment) {
     private var level = 0.0
 
+    /** Tokens that accrue in a second. */
+    var rate = rate
+        private set
+
     /** The tokens at [now]. */
     fun level(now: Moment): Double {
         accrue(now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/FairQueue.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/FairQueue.kt
@@ -50,6 +50,14 @@
     /** Removes and returns all items, in the order in which they would have come. */
     fun drain(): List<T> = generateSequence { poll() }.toList()
 
+    /** Removes and returns the items that [predicate] accepts, given how many go before each. */
+    fun removeByPosition(predicate: (T, ahead: Int) -> Boolean): List<T> {
+        val urgent = classes.runningFold(0) { sum, queue -> sum + queue.size }
+        return classes.flatMapIndexed { index, queue ->
+            queue.removeByPosition { item, ahead -> predicate(item, urgent[index] + ahead) }
+        }
+    }
+
     /** Removes and returns the items that [predicate] accepts. */
     fun removeIf(predicate: (T) -> Boolean): List<T> = classes.flatMap { it.removeIf(predicate) }
 
@@ -82,6 +90,18 @@
 
         fun countOf(customer: CustomerName): Int = byCustomer[customer]?.size ?: 0
 
+        fun removeByPosition(predicate: (T, ahead: Int) -> Boolean): List<T> {
+            val sizes = byCustomer.mapValues { it.value.size }
+            val removed = byCustomer.flatMap { (customer, items) ->
+                items.filterIndexed { index, item -> predicate(item, aheadOf(customer, index, sizes)) }
+            }
+            removed.forEach(::remove)
+            return removed
+        }
+
+        private fun aheadOf(customer: CustomerName, index: Int, sizes: Map<CustomerName, Int>): Int =
+            sizes.entries.sumOf { (other, size) -> if (other == customer) index else minOf(size, index + 1) }
+
         /** With turns between customers, at most as many of each other customer go first as wait of [customer]. */
         fun ahead(customer: CustomerName): Int {
             val mine = countOf(customer)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
@@ -25,6 +25,7 @@
 import cicadagauge.routing.OwnerDirectory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** A request, of VM [entry], that wants a place at an upstream. */
 internal data class Reservation(
@@ -133,6 +134,8 @@
                 queue.removeIf { it.since + settings.ownerWait <= now }.forEach { deny(it, NO_OWNER, now) }
             } else if (isStalled(target, now)) {
                 queue.drain().forEach { deny(it, STALLED, now) }
+            } else if (queue.size > 0) {
+                denyHopeless(target, queue, now)
             }
         }
         free(running.filterValues { it.expires <= now }, now)
@@ -230,10 +233,10 @@
         if (queue.countOf(reservation.customer) >= settings.queuedPerCustomer ||
             queued.size >= settings.queuedPerPool
         ) {
-            return Refusal(Reason.Overloaded, "too many requests wait", expectedWait(target, reservation, queue))
+            return Refusal(Reason.Overloaded, "too many requests wait", expectedWait(target, reservation, queue, now))
         }
         if (isStalled(target, now)) return STALLED
-        val wait = expectedWait(target, reservation, queue)
+        val wait = expectedWait(target, reservation, queue, now)
         if (reservation.maySpill && wait > settings.spillWait) {
             return Refusal(Reason.Overloaded, "another zone may be sooner", wait)
         }
@@ -241,11 +244,31 @@
         return Refusal(Reason.Overloaded, "the queue is longer than the deadline", wait)
     }
 
-    private fun expectedWait(target: Target, reservation: Reservation, queue: FairQueue<Reservation>): Duration {
+    private fun expectedWait(
+        target: Target,
+        reservation: Reservation,
+        queue: FairQueue<Reservation>,
+        now: Moment,
+    ): Duration = waitBehind(target, queue.ahead(reservation.requestClass, reservation.customer), now)
+
+    /** How long a request should wait with [ahead] before it; where all places are taken one has to become free. */
+    private fun waitBehind(target: Target, ahead: Int, now: Moment): Duration {
         val serving = servingOf(target)
-        val places = serving.sumOf { it.places }
-        if (places == 0) return Duration.ZERO
-        return usualTime(target) * queue.ahead(reservation.requestClass, reservation.customer) / places
+        if (serving.isEmpty()) return Duration.ZERO
+        val isFree = ahead == 0 && serving.any { it.isFree(now) }
+        if (isFree) return Duration.ZERO
+        val pause = serving.minOf { it.pauseLeft(now) }
+        return pause + ((ahead + UNTIL_FREE) / serving.sumOf { it.rate(now) }).seconds
+    }
+
+    /** Denies those that have been overtaken by so many that they can't be answered in time any more. */
+    private fun denyHopeless(target: Target, queue: FairQueue<Reservation>, now: Moment) {
+        val run = usualTime(target) * RUN_PART
+        val hopeless = queue.removeByPosition { reservation, ahead ->
+            now + waitBehind(target, ahead, now) + run > reservation.deadline + HOPELESS_MARGIN
+        }
+        val wait = waitBehind(target, queue.size, now)
+        hopeless.forEach { deny(it, Refusal(Reason.Overloaded, "others went before it", wait), now) }
     }
 
     private fun servingOf(target: Target): List<UpstreamLoad> =
@@ -275,6 +298,12 @@
         /** A request is not begun where less than this part of the usual time is left: it would only take a place. */
         const val RUN_PART = 0.7
         val RETRY: Duration = 200.milliseconds
+
+        /** Where every place is taken the first becomes free after half of the time between two ends, on average. */
+        const val UNTIL_FREE = 0.5
+
+        /** An estimate that is a little late is no reason to give a request up that waits already. */
+        val HOPELESS_MARGIN: Duration = 30.milliseconds
         val ON_ITS_WAY = Target(owner = null)
         val TOO_LATE = Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free", RETRY)
         val NO_OWNER = Refusal(Reason.OwnerUnavailable, "the key is on its way to another owner", RETRY)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/UpstreamLoad.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/UpstreamLoad.kt
@@ -8,6 +8,7 @@
 import cicadagauge.peer.PlaceResult
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /**
  * What a home VM knows of one upstream from the attempts it let through: how many run, how many it carries and
@@ -61,6 +62,16 @@
         return usual * present * (1.0 + CROWDING * running / places)
     }
 
+    /** How many requests a second it should finish: what its places carry, and no more than a cold one may. */
+    fun rate(now: Moment): Double {
+        val carried = places / expected(now).toDouble(DurationUnit.SECONDS)
+        val cold = coldBucket ?: return carried
+        return if (now < coldUntil) minOf(carried, cold.rate) else carried
+    }
+
+    /** How long it is given no request for, because it refused or broke the last one. */
+    fun pauseLeft(now: Moment): Duration = maxOf(Duration.ZERO, suspectUntil - now)
+
     /** Takes a place. */
     fun take(now: Moment) {
         if (running == 0) busySince = now
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
@@ -89,12 +89,13 @@
         deadline: Duration = 500.milliseconds,
         slot: Slot? = null,
         maySpill: Boolean = false,
+        requestClass: RequestClass = RequestClass.Normal,
     ): RequestId {
         val reservation = Reservation(
             entry = VM,
             id = RequestId(++lastId),
             slot = slot,
-            requestClass = RequestClass.Normal,
+            requestClass = requestClass,
             customer = CustomerName("c"),
             deadline = now + deadline,
             zone = ZONE.takeIf { slot == null },
@@ -201,6 +202,25 @@
             most shouldBeLessThanOrEqual 21
         }
 
+        test("more requests than a cold upstream may be given in time are refused at once") {
+            val home = Home(count = 1, coldUntil = Moment.ZERO + 10.seconds)
+            val ids = (1..10).map { home.ask(Moment.ZERO, deadline = 500.milliseconds) }
+            // Three quarters of 11 a second are four in half a second.
+            ids.count { it in home.denied } shouldBe 6
+            home.denied.values.all { (it.retryAfter ?: Duration.ZERO).isPositive() } shouldBe true
+        }
+
+        test("a request that was overtaken until it can't be served in time is refused then, not at its deadline") {
+            val home = Home(count = 1)
+            val now = home.warmUp(60.milliseconds)
+            repeat(2) { home.ask(now) }
+            val overtaken = home.ask(now, deadline = 300.milliseconds)
+            (overtaken in home.denied) shouldBe false
+            repeat(12) { home.ask(now, deadline = 1.seconds, requestClass = RequestClass.Urgent) }
+            home.sweep(now + 10.milliseconds)
+            home.denied.getValue(overtaken).reason shouldBe Reason.Overloaded
+        }
+
         test("a request whose key is on its way to another owner waits for the owner, but not for long") {
             val owners = OwnerDirectory()
             val home = Home(count = 2, isKeyed = true, owners = owners)
