Doubt leases, promises and loans after a suspension

Cause: a machine may be suspended for seconds that the steady clock does not count. An allocator then goes on counting on a lease, and a keeper on waivers, that are over for everybody else. Ruled out: CLOCK_BOOTTIME (the JVM has none), /proc/uptime (docs/design).

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
@@ -47,6 +47,12 @@
     /** The moment that [Effect.WakeAt] asked for has come. */
     public data object Woken : Event
 
+    /**
+     * The process may have stood still for a time that its clock did not count, [unseen] long: whatever was to hold
+     * until some moment may be over.
+     */
+    public data class Suspended(val unseen: Duration) : Event
+
     /** A planned stop begins: hand duties over and take no new requests. */
     public data object StopRequested : Event
 }
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -6,6 +6,7 @@
 import cicadagauge.identity.RecordVersion
 import cicadagauge.identity.Term
 import cicadagauge.identity.UpstreamId
+import kotlin.time.Duration
 
 /** A change of state worth one log line. */
 public sealed interface StateChange {
@@ -36,6 +37,9 @@
     /** An upstream stopped or started answering grant orders. */
     public data class UpstreamReachable(val upstream: UpstreamId, val reachable: Boolean) : StateChange
 
+    /** The time of day has advanced by [unseen] more, or less, than the steady clock. */
+    public data class Suspended(val unseen: Duration) : StateChange
+
     /** The store stopped or started answering this VM. */
     public data class StoreReachable(val reachable: Boolean) : StateChange
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/BudgetKeeper.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/BudgetKeeper.kt
@@ -30,6 +30,12 @@
         return if (request.leave) 0 else bucket.take(request.demand, now)
     }
 
+    /** Lends nothing more of what was waived before [now]. */
+    fun dropWaivers(now: Moment) {
+        waivers.values.forEach { it.until = minOf(it.until, now) }
+        resize(now)
+    }
+
     /** Uses [newPortion] from [now] on. */
     fun redefine(newPortion: Portion, now: Moment) {
         portion = newPortion
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
@@ -105,6 +105,9 @@
         if (reply.tokens > 0 && now < until) loans.addLast(Loan(reply.tokens, until))
     }
 
+    /** Uses nothing more of what was lent. */
+    fun dropLoans(): Unit = loans.clear()
+
     /** How long a refused request's caller should wait. */
     fun retryAfter(): Duration = settings.refresh
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudgets.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudgets.kt
@@ -99,6 +99,12 @@
         for (account in accounts.values) ask(account, now)
     }
 
+    /** Gives up what was lent to this VM and waived to it for a time. */
+    fun suspended(now: Moment) {
+        accounts.values.forEach { it.budget.dropLoans() }
+        keepers.values.forEach { it.dropWaivers(now) }
+    }
+
     /** [vm] has stopped to keep budgets: what was waived to it is this VM's own again. */
     fun keeperLeft(vm: VmId, now: Moment) {
         accounts.values.forEach { it.budget.released(vm, now) }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -114,6 +114,7 @@
             is Event.StoreReplied -> store.replied(event.call, event.reply, now)
             is Event.VmsListed -> listed(event.vms, now)
             Event.Started -> started(now)
+            is Event.Suspended -> suspended(event, now)
             Event.StopRequested -> stop(now)
             Event.Woken -> Unit
         }
@@ -130,6 +131,14 @@
         reportHeat(now)
     }
 
+    /** Gives up what was to hold until some moment, since the clock that counted towards it may have stood still. */
+    private fun suspended(event: Event.Suspended, now: Moment) {
+        effects.add(Effect.StateChanged(StateChange.Suspended(event.unseen)))
+        lease.doubt(now)
+        duties.suspended()
+        budgets.suspended(now)
+    }
+
     /** Tells each pool's allocator what this VM has counted as a home. */
     private fun reportHeat(now: Moment) {
         for (heat in dispatcher.homeSide.takeHeat()) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -114,6 +114,9 @@
         vms.vm(from)?.let { vms.send(it, PeerMessage.OutagePromise(message.pool, message.term, message.sequence)) }
     }
 
+    /** Forgets what other VMs have promised. */
+    fun suspended(): Unit = duties.values.forEach { it.witness.forget() }
+
     /** Takes another VM's promise. */
     fun promised(from: VmId, message: PeerMessage.OutagePromise) {
         val duty = duties[message.pool] ?: return
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/OutageWitness.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/OutageWitness.kt
@@ -37,6 +37,13 @@
         vms.peers.forEach { vms.send(it, PeerMessage.OutageQuery(pool, term, sequence)) }
     }
 
+    /** Forgets all promises, and those that may still come in answer to earlier questions. */
+    fun forget() {
+        promisedUntil.clear()
+        askedAt.clear()
+        since = null
+    }
+
     /** Takes a promise; it counts from when it was asked for. */
     fun promised(from: VmId, message: PeerMessage.OutagePromise) {
         val asked = askedAt[message.sequence] ?: return
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/ProcessLease.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/ProcessLease.kt
@@ -21,6 +21,7 @@
     private val listeners = ArrayList<(Moment) -> Unit>()
     private var wanted = false
     private var calling = false
+    private var doubtedAt = Moment.PAST
 
     /** The lease, or null where there is none. */
     var id: StoreLeaseId? = null
@@ -49,6 +50,13 @@
         validUntil = Moment.PAST
     }
 
+    /** Trusts the lease only once it was renewed after [now]. */
+    fun doubt(now: Moment) {
+        doubtedAt = now
+        validUntil = Moment.PAST
+        renew(now)
+    }
+
     private fun renew(now: Moment) {
         if (!wanted || calling) return
         calling = true
@@ -62,7 +70,7 @@
         when (reply) {
             is StoreReply.LeaseHeld -> {
                 id = reply.lease
-                validUntil = sentAt + settings.dutyLease * (1 - settings.clockDrift)
+                if (sentAt >= doubtedAt) validUntil = sentAt + settings.dutyLease * (1 - settings.clockDrift)
             }
             StoreReply.LeaseLapsed -> {
                 id = null
--- /dev/null
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/ProcessLeaseTest.kt
@@ -0,0 +1,66 @@
+package cicadagauge.ownership
+
+import cicadagauge.identity.Moment
+import cicadagauge.node.Effect
+import cicadagauge.node.Effects
+import cicadagauge.node.OwnershipSettings
+import cicadagauge.node.Timers
+import cicadagauge.store.StoreClient
+import cicadagauge.store.StoreLeaseId
+import cicadagauge.store.StoreReply
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A lease whose store answers when it is told to. */
+private class Leased {
+    private val effects = Effects()
+    private val store = StoreClient(effects)
+    private val timers = Timers()
+    private val calls = ArrayDeque<Effect.CallStore>()
+    val lease = ProcessLease(store, timers, OwnershipSettings())
+    var now = Moment.ZERO + 1_000.milliseconds
+
+    init {
+        lease.want(now)
+        answer()
+    }
+
+    fun pass(millis: Int) {
+        now += millis.milliseconds
+        timers.run(now)
+    }
+
+    fun answer() {
+        effects.take().filterIsInstance<Effect.CallStore>().forEach { calls.addLast(it) }
+        store.replied(calls.removeFirst().id, StoreReply.LeaseHeld(StoreLeaseId(1)), now)
+    }
+
+    fun isValid() = now < lease.validUntil
+}
+
+class ProcessLeaseTest :
+    FunSpec({
+        test("after a suspension the lease counts only once it was renewed") {
+            val leased = Leased()
+            leased.isValid() shouldBe true
+            leased.pass(10)
+            leased.lease.doubt(leased.now)
+            leased.isValid() shouldBe false
+            leased.pass(5)
+            leased.answer()
+            leased.isValid() shouldBe true
+        }
+
+        test("a renewal that was under way during a suspension proves nothing") {
+            val leased = Leased()
+            leased.pass(200)
+            leased.pass(1)
+            leased.lease.doubt(leased.now)
+            leased.answer()
+            leased.isValid() shouldBe false
+            leased.pass(200)
+            leased.answer()
+            leased.isValid() shouldBe true
+        }
+    })
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/NodeDriver.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/NodeDriver.kt
@@ -24,7 +24,11 @@
 }
 
 /** Feeds [node] with events, on [loop] only. */
-internal class NodeDriver(private val node: Node, private val loop: EventLoop) {
+internal class NodeDriver(
+    private val node: Node,
+    private val loop: EventLoop,
+    private val suspension: SuspensionWatch = SuspensionWatch(),
+) {
     private val waiting = ArrayDeque<Event>()
     private var running = false
     private var wake: ScheduledFuture<*>? = null
@@ -48,6 +52,11 @@
     fun submitLater(event: Event): Unit = loop.execute { submit(event) }
 
     private fun handle(event: Event) {
+        suspension.check()?.let { carryOut(Event.Suspended(it)) }
+        carryOut(event)
+    }
+
+    private fun carryOut(event: Event) {
         for (effect in node.handle(event, MonotonicClock.now())) {
             if (effect is Effect.WakeAt) wakeAt(effect.moment) else effects.carryOut(effect)
         }
