Let the compiler write the code for messages and records

A third of the loaded classes were kotlin-reflect's, loaded from 1.1 to 2.8 s (-Xlog:class+load with uptime): Jackson looks each message type up by reflection. Ruled out: callers' connections (the port was opened later, no change), the archive of classes (5,164 of 6,477 come from it). The spelling stays: type names, numbers, nanoseconds. JsonTest covers every kind of message, and now fails where one is missing.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/identity/Identity.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/identity/Identity.kt
@@ -4,8 +4,11 @@
  */
 package cicadagauge.identity
 
+import kotlinx.serialization.Serializable
+
 /** Names one entry VM of the router, for example `vm-3`. */
 @JvmInline
+@Serializable
 public value class VmId(public val value: String) : Comparable<VmId> {
     override fun compareTo(other: VmId): Int = value.compareTo(other.value)
 
@@ -14,12 +17,14 @@
 
 /** Names one availability zone. */
 @JvmInline
+@Serializable
 public value class AvailabilityZone(public val value: String) {
     override fun toString(): String = value
 }
 
 /** Names one upstream; unique over all pools of a deployment. */
 @JvmInline
+@Serializable
 public value class UpstreamId(public val value: String) : Comparable<UpstreamId> {
     override fun compareTo(other: UpstreamId): Int = value.compareTo(other.value)
 
@@ -28,6 +33,7 @@
 
 /** Names one pool of upstreams. */
 @JvmInline
+@Serializable
 public value class PoolName(public val value: String) {
     override fun toString(): String = value
 }
@@ -40,6 +46,7 @@
 
 /** Names one customer. */
 @JvmInline
+@Serializable
 public value class CustomerName(public val value: String) {
     override fun toString(): String = value
 }
@@ -52,18 +59,21 @@
 
 /** One of the fixed number of slots that a keyed pool's keys hash to. */
 @JvmInline
+@Serializable
 public value class Slot(public val index: Int) {
     override fun toString(): String = index.toString()
 }
 
 /** A request's number within the process that accepted it. */
 @JvmInline
+@Serializable
 public value class RequestId(public val value: Long) {
     override fun toString(): String = value.toString()
 }
 
 /** Identifies one run of an upstream process; a restarted upstream has another one. */
 @JvmInline
+@Serializable
 public value class Incarnation(public val value: String) {
     override fun toString(): String = value
 }
@@ -76,6 +86,7 @@
 
 /** The term under which a duty is held. Only a compare-and-swap in the platform store raises it. */
 @JvmInline
+@Serializable
 public value class Term(public val value: Long) : Comparable<Term> {
     override fun compareTo(other: Term): Int = value.compareTo(other.value)
 
@@ -92,6 +103,7 @@
 
 /** The version of a pool's ownership record; it rises by one with each change of owners. */
 @JvmInline
+@Serializable
 public value class RecordVersion(public val value: Long) : Comparable<RecordVersion> {
     override fun compareTo(other: RecordVersion): Int = value.compareTo(other.value)
 
@@ -108,6 +120,7 @@
 
 /** The version of the operators' declaration; an accepted one only rises. */
 @JvmInline
+@Serializable
 public value class DeclarationVersion(public val value: Long) : Comparable<DeclarationVersion> {
     override fun compareTo(other: DeclarationVersion): Int = value.compareTo(other.value)
 
@@ -120,6 +133,7 @@
 }
 
 /** An IP address, or `localhost`, with a TCP port. */
+@Serializable
 public data class Address(val host: String, val port: Int) {
     override fun toString(): String = "$host:$port"
 
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/identity/Moment.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/identity/Moment.kt
@@ -4,11 +4,13 @@
  */
 package cicadagauge.identity
 
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 
 /** A reading of one process's monotonic clock, in nanoseconds from an arbitrary origin. */
 @JvmInline
+@Serializable
 public value class Moment(public val nanos: Long) : Comparable<Moment> {
     /** This moment, [duration] later. */
     public operator fun plus(duration: Duration): Moment = Moment(nanos + duration.inWholeNanoseconds)
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/Outcome.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/Outcome.kt
@@ -2,8 +2,13 @@
  * What a caller learns about its request. Every refusal carries a verdict: whether the request may have run.
  * "Not run" is a promise. Where nothing proves it, the verdict is that the request may have run.
  */
+@file:UseSerializers(DurationInNanos::class)
+
 package cicadagauge.outcome
 
+import cicadagauge.identity.DurationInNanos
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.UseSerializers
 import kotlin.time.Duration
 
 /** Whether a request may have run at an upstream. */
@@ -42,4 +47,5 @@
 }
 
 /** A refusal as the caller sees it; [retryAfter] says when another try may succeed. */
+@Serializable
 public data class Refusal(val reason: Reason, val detail: String, val retryAfter: Duration? = null)
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ownership.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ownership.kt
@@ -13,6 +13,7 @@
 import cicadagauge.identity.Term
 import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
+import kotlinx.serialization.Serializable
 import java.util.BitSet
 
 /**
@@ -23,6 +24,7 @@
  * stopped: what they granted may still be held. [backedElsewhere] says that all of these allocators renew without the
  * store only by the word of VMs in other availability zones than their own.
  */
+@Serializable
 public data class OwnershipRecord(
     val pool: PoolName,
     val term: Term,
@@ -44,6 +46,7 @@
  * An upstream that may own slots. [share] is the part, in percent, of its own slots that it may hold: zero while
  * it is out, less than a hundred while it warms up.
  */
+@Serializable
 public data class Member(val upstream: UpstreamId, val share: Int = FULL_SHARE) {
     public companion object {
         /** The share of a member that is out. */
@@ -55,6 +58,7 @@
 }
 
 /** An explicit placement of one hot slot. */
+@Serializable
 public data class SlotException(val slot: Slot, val upstream: UpstreamId)
 
 /** A set of slots, kept as a bit set; immutable from outside. */
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ranges.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ranges.kt
@@ -11,9 +11,11 @@
 import cicadagauge.identity.RecordVersion
 import cicadagauge.identity.Slot
 import cicadagauge.identity.UpstreamId
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 
 /** The slots from [first] to [last], both included. */
+@Serializable
 public data class SlotRange(val first: Int, val last: Int) {
     /** How many slots the range has. */
     val size: Int get() = last - first + 1
@@ -23,12 +25,14 @@
 }
 
 /** An upstream in one [run] of its process, null where the run is not known, and where it is. */
+@Serializable
 public data class RangeOwner(val upstream: UpstreamId, val run: Incarnation?, val address: Address)
 
 /**
  * One range of an ownership record. [fence] is the version of the record that gave the range to [owner]. Until
  * [isServed] the range is on its way: [former], if any, may still hold it.
  */
+@Serializable
 public data class OwnedRange(
     val slots: SlotRange,
     val owner: RangeOwner,
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/store/Store.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/store/Store.kt
@@ -4,16 +4,19 @@
  */
 package cicadagauge.store
 
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 
 /** Names one value in the platform store. */
 @JvmInline
+@Serializable
 public value class StoreKey(public val value: String) {
     override fun toString(): String = value
 }
 
 /** The revision of one value; it rises with each write of any value. */
 @JvmInline
+@Serializable
 public value class StoreRevision(public val value: Long) : Comparable<StoreRevision> {
     override fun compareTo(other: StoreRevision): Int = value.compareTo(other.value)
 
@@ -61,6 +64,7 @@
 }
 
 /** One value with its revision; [value] is null where the key does not exist. */
+@Serializable
 public data class StoreEntry(val key: StoreKey, val value: String?, val revision: StoreRevision)
 
 /** The store's answer to a [StoreCall]. */
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/CapacityExperiment.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/CapacityExperiment.kt
@@ -14,6 +14,7 @@
 import cicadagauge.routing.OwnerTable
 import cicadagauge.store.Json
 import cicadagauge.store.JsonRecordCodec
+import cicadagauge.store.MessageJson
 import java.lang.management.ManagementFactory
 import kotlin.time.Duration
 
@@ -110,9 +111,7 @@
 
     private fun codec(): CodecCost {
         val message = PeerMessage.BudgetRequest(CustomerName("customer-1"), 1, Moment(1), Duration.ZERO, 10)
-        val writer = Json.mapper.writerFor(PeerMessage::class.java)
-        val reader = Json.mapper.readerFor(PeerMessage::class.java)
-        val turn = { reader.readValue<PeerMessage>(writer.writeValueAsBytes(message)) }
+        val turn = { MessageJson.read(MessageJson.write(listOf(message))) }
         repeat(CODEC_TURNS) { turn() }
         val begin = processorNanos()
         repeat(CODEC_TURNS) { turn() }
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/ControlMeter.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/capacity/ControlMeter.kt
@@ -10,6 +10,7 @@
 import cicadagauge.standins.deployment.DeploymentShape
 import cicadagauge.standins.deployment.PoolShape
 import cicadagauge.store.Json
+import cicadagauge.store.MessageJson
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -42,7 +43,7 @@
 
     override fun said(fleet: VirtualFleet, vm: VirtualVm, message: PeerMessage) {
         if (!measuring) return
-        val size = PEER_WRITER.writeValueAsBytes(message).size + HTTP_OVERHEAD
+        val size = MessageJson.write(listOf(message)).size + HTTP_OVERHEAD
         messages++
         bytes.merge(vm, size.toLong(), Long::plus)
         kinds.merge(message::class.java.simpleName, size.toLong(), Long::plus)
@@ -121,7 +122,6 @@
         val SETTLING = 12.seconds
         val LENGTH = 10.seconds
         val SPREADING = 10.seconds
-        val PEER_WRITER = Json.mapper.writerFor(PeerMessage::class.java)
         val GRANT_WRITER = Json.mapper.writerFor(GrantOrder::class.java)
     }
 }
--- a/cicadagauge-config/src/main/kotlin/cicadagauge/store/Json.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/store/Json.kt
@@ -1,6 +1,5 @@
 package cicadagauge.store
 
-import cicadagauge.identity.DeclarationVersion
 import cicadagauge.identity.Incarnation
 import cicadagauge.identity.Moment
 import cicadagauge.identity.PoolName
@@ -10,7 +9,6 @@
 import cicadagauge.ownership.GrantReport
 import cicadagauge.ownership.LeaseHolder
 import cicadagauge.ownership.SlotSet
-import cicadagauge.peer.PeerMessage
 import com.fasterxml.jackson.annotation.JsonTypeInfo
 import com.fasterxml.jackson.core.JsonGenerator
 import com.fasterxml.jackson.core.JsonParser
@@ -25,11 +23,16 @@
 import com.fasterxml.jackson.module.kotlin.jacksonMapperBuilder
 import java.time.Duration
 
-/** The mapper that all of the router's JSON goes through. */
+/** Jackson's mappers: [trees] for JSON that is read field by field, [mapper] for everything that has a class. */
 public object Json {
-    public val mapper: ObjectMapper = jacksonMapperBuilder { enable(KotlinFeature.UseJavaDurationConversion) }
+    /** Reads and writes trees; it needs no reflection. */
+    public val trees: ObjectMapper = ObjectMapper()
+
+    /** Maps the router's classes but for [MessageJson]'s. Making it takes a process a second that has just started. */
+    public val mapper: ObjectMapper by lazy(::makeMapper)
+
+    private fun makeMapper(): ObjectMapper = jacksonMapperBuilder { enable(KotlinFeature.UseJavaDurationConversion) }
         .addModule(valueModule())
-        .addMixIn(PeerMessage::class.java, Tagged::class.java)
         .addMixIn(GrantOrder::class.java, Tagged::class.java)
         .addMixIn(StoreCall::class.java, Tagged::class.java)
         .addMixIn(StoreReply::class.java, Tagged::class.java)
@@ -47,7 +50,6 @@
         val report = LeaseHolder(pool, claim.upstream, Incarnation("i")).handle(claim, Moment.ZERO)
         turn(GrantOrder::class.java, claim)
         turn(GrantReport::class.java, report)
-        turn(PeerMessage::class.java, PeerMessage.Digest(DeclarationVersion.NONE, emptyList()))
         turn(StoreCall::class.java, StoreCall.Get(StoreKeys.DECLARATION))
         turn(StoreReply::class.java, StoreReply.LeaseLapsed)
     }
@@ -56,9 +58,8 @@
         mapper.readValue(mapper.writerFor(type).writeValueAsBytes(value), type)
     }
 
-    private fun subtypes(): List<Class<*>> =
-        listOf(PeerMessage::class, GrantOrder::class, StoreCall::class, StoreReply::class)
-            .flatMap { it.java.declaredClasses.toList() }
+    private fun subtypes(): List<Class<*>> = listOf(GrantOrder::class, StoreCall::class, StoreReply::class)
+        .flatMap { it.java.declaredClasses.toList() }
 
     private fun valueModule(): SimpleModule = SimpleModule()
         .addSerializer(SlotSet::class.java, SlotSetSerializer())
--- a/cicadagauge-config/src/main/kotlin/cicadagauge/store/JsonCodecs.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/store/JsonCodecs.kt
@@ -20,10 +20,10 @@
 
 /** Ownership records as JSON. */
 public class JsonRecordCodec : RecordCodec {
-    override fun encode(record: OwnershipRecord): String = Json.mapper.writeValueAsString(record)
+    override fun encode(record: OwnershipRecord): String = MessageJson.write(record, OwnershipRecord.serializer())
 
     override fun decode(text: String): Either<CodecError, OwnershipRecord> =
-        readJson(text) { Json.mapper.readValue(it, OwnershipRecord::class.java) }
+        MessageJson.read(text, OwnershipRecord.serializer())
 }
 
 /** Upstreams' registrations as JSON. */
@@ -36,10 +36,9 @@
 
 /** Entry VMs' registrations as JSON. */
 public class JsonVmCodec : VmCodec {
-    override fun encode(vm: Vm): String = Json.mapper.writeValueAsString(vm)
+    override fun encode(vm: Vm): String = MessageJson.write(vm, Vm.serializer())
 
-    override fun decode(text: String): Either<CodecError, Vm> =
-        readJson(text) { Json.mapper.readValue(it, Vm::class.java) }
+    override fun decode(text: String): Either<CodecError, Vm> = MessageJson.read(text, Vm.serializer())
 }
 
 /** The router's own forms of everything that the store holds. */
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -1,5 +1,6 @@
 package cicadagauge.store
 
+import arrow.core.right
 import cicadagauge.declaration.RequestClass
 import cicadagauge.identity.AvailabilityZone
 import cicadagauge.identity.CustomerName
@@ -91,9 +92,28 @@
                 PeerMessage.OutagePromise(pool, Term(3), 8),
                 PeerMessage.Yield(pool, Term(3)),
                 PeerMessage.Yielded(pool, Term(3)),
+                PeerMessage.TermRaised(pool, Term(3)),
+                PeerMessage.TermNoted(pool, Term(3), 300.milliseconds),
+                PeerMessage.EntriesUpdate(
+                    prefix = "upstreams/",
+                    upTo = StoreRevision(9),
+                    entries = listOf(StoreEntry(StoreKey("upstreams/u"), "text", StoreRevision(8))),
+                    keys = listOf(StoreKey("upstreams/u")),
+                ),
             )
             for (message in messages) {
-                Json.mapper.readValue(Json.mapper.writeValueAsString(message), PeerMessage::class.java) shouldBe message
+                MessageJson.read(MessageJson.write(listOf(message))) shouldBe
+                    listOf(message).right()
+            }
+            val missing = PeerMessage::class.sealedSubclasses - messages.map { it::class }.toSet()
+            missing shouldBe emptyList()
+        }
+
+        test("messages that can't be read are an error, and fields that are not known are passed over") {
+            MessageJson.read("[{\"type\":\"Ping\",\"later\":1}]".toByteArray()) shouldBe
+                listOf<PeerMessage>(PeerMessage.Ping).right()
+            for (text in listOf("", "{", "[1]", "[{\"type\":\"Unheard\"}]", "[{\"type\":\"Yield\",\"term\":\"x\"}]")) {
+                MessageJson.read(text.toByteArray()).isLeft() shouldBe true
             }
         }
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -22,7 +22,6 @@
 import cicadagauge.node.Effect
 import cicadagauge.node.Event
 import cicadagauge.node.NodeStatus
-import cicadagauge.store.Json
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -38,7 +37,7 @@
 import kotlin.time.Duration
 
 /** A running entry VM. */
-public class Gateway(private val settings: GatewaySettings, environment: Environment) {
+public class Gateway(private val settings: GatewaySettings, private val environment: Environment) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
     private val node = DefaultNode(settings.node, environment.codecs, MonotonicClock.now())
@@ -57,11 +56,12 @@
     private val readiness = settings.readiness?.let { JsonHttpServer(group, it, handler::open) }
     private val callers = DefaultChannelGroup(loop)
     private val handedOver = CompletableFuture<Unit>()
+
     @Volatile private var listeners = emptyList<Channel>()
 
     /** Binds both ports and begins to work; throws where a port can't be bound. */
     public fun start(): Gateway {
-        Json.warmUp()
+        environment.warmUp()
         driver.effects = EffectHandler(::carryOut)
         control.start()
         readiness?.start()
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/RefusalAnswer.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/RefusalAnswer.kt
@@ -4,6 +4,7 @@
 import cicadagauge.gateway.environment.Dialect
 import cicadagauge.outcome.Refusal
 import cicadagauge.store.Json
+import com.fasterxml.jackson.databind.node.ObjectNode
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpResponse
@@ -13,14 +14,11 @@
 
 /** Spells refusals as HTTP answers: the verdict and the reason stand in headers and in a JSON body. */
 internal object RefusalAnswer {
-    private data class Body(val verdict: String, val reason: String, val detail: String, val retryAfterMillis: Long?)
-
     /** The answer for [refusal], in [dialect]. */
     fun of(refusal: Refusal, dialect: Dialect): FullHttpResponse {
         val reason = refusal.reason
         val wait = refusal.retryAfter
-        val body = Body(reason.verdict.code, reason.code, refusal.detail, wait?.inWholeMilliseconds)
-        val bytes = Json.mapper.writeValueAsBytes(body)
+        val bytes = Json.trees.writeValueAsBytes(body(refusal))
         val status = HttpResponseStatus.valueOf(reason.status)
         val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(bytes))
         val headers = answer.headers()
@@ -34,4 +32,11 @@
         }
         return answer
     }
+
+    private fun body(refusal: Refusal): ObjectNode = Json.trees.createObjectNode().apply {
+        put("verdict", refusal.reason.verdict.code)
+        put("reason", refusal.reason.code)
+        put("detail", refusal.detail)
+        put("retryAfterMillis", refusal.retryAfter?.inWholeMilliseconds)
+    }
 }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/ControlHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/ControlHandler.kt
@@ -1,5 +1,6 @@
 package cicadagauge.gateway.control
 
+import arrow.core.getOrElse
 import cicadagauge.gateway.DeploymentSecret
 import cicadagauge.gateway.NodeDriver
 import cicadagauge.gateway.ProtocolHeaders
@@ -7,10 +8,8 @@
 import cicadagauge.identity.VmId
 import cicadagauge.node.Event
 import cicadagauge.node.NodeStatus
-import cicadagauge.peer.PeerMessage
 import cicadagauge.store.Json
-import com.fasterxml.jackson.core.JacksonException
-import com.fasterxml.jackson.core.type.TypeReference
+import cicadagauge.store.MessageJson
 
 /** The control port of a VM. Peers prove the [secret]; health and metrics are open. */
 internal class ControlHandler(
@@ -48,11 +47,7 @@
     private fun messages(request: JsonRequest): JsonAnswer {
         val from = request.header(ProtocolHeaders.VM)
         if (!isProved(request) || from == null) return JsonAnswer(FORBIDDEN)
-        val messages = try {
-            Json.mapper.readValue(request.body, MESSAGES)
-        } catch (_: JacksonException) {
-            return JsonAnswer(BAD_REQUEST)
-        }
+        val messages = MessageJson.read(request.body).getOrElse { return JsonAnswer(BAD_REQUEST) }
         messages.forEach { driver.submit(Event.PeerSaid(VmId(from), it)) }
         return JsonAnswer(NO_CONTENT)
     }
@@ -60,7 +55,6 @@
     private fun isProved(request: JsonRequest): Boolean = secret.isProvedBy(request.header(ProtocolHeaders.SECRET))
 
     private companion object {
-        val MESSAGES = object : TypeReference<List<PeerMessage>>() {}
         val OPEN_PATHS = setOf(ControlPaths.HEALTH, ControlPaths.READY, ControlPaths.METRICS)
         const val OK = 200
         const val NO_CONTENT = 204
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/PeerSender.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/PeerSender.kt
@@ -3,8 +3,7 @@
 import cicadagauge.identity.Address
 import cicadagauge.identity.VmId
 import cicadagauge.peer.PeerMessage
-import cicadagauge.store.Json
-import com.fasterxml.jackson.core.type.TypeReference
+import cicadagauge.store.MessageJson
 import kotlin.time.Duration
 
 /**
@@ -33,7 +32,7 @@
             val batch = ArrayList(waiting)
             waiting.clear()
             calls++
-            val body = WRITER.writeValueAsBytes(batch)
+            val body = MessageJson.write(batch)
             client.call(JsonCall(address, ControlPaths.MESSAGES, body, timeout)) {
                 calls--
                 flush()
@@ -44,7 +43,6 @@
     private companion object {
         const val MAX_CALLS = 2
         const val MAX_WAITING = 10_000
-        val WRITER = Json.mapper.writerFor(object : TypeReference<List<PeerMessage>>() {})
     }
 }
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/DefaultEnvironment.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/DefaultEnvironment.kt
@@ -32,6 +32,8 @@
     override val codecs: NodeCodecs = JsonCodecs.all()
     override val dialect: Dialect = DefaultDialect
 
+    override fun warmUp(): Unit = Json.warmUp()
+
     override fun connect(loop: EventLoop, submit: (Event) -> Unit): Links = DefaultLinks(loop, submit)
 
     private inner class DefaultLinks(private val loop: EventLoop, private val submit: (Event) -> Unit) : Links {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/Environment.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/Environment.kt
@@ -23,6 +23,9 @@
     /** How requests are spelled. */
     public val dialect: Dialect
 
+    /** Does what takes long when it is done first, before others wait for it. */
+    public fun warmUp(): Unit = Unit
+
     /** Makes the connections of one gateway, which live on [loop]. Events from outside go to [submit]. */
     public fun connect(loop: EventLoop, submit: (Event) -> Unit): Links
 }
