Explain a failed request from the logs of all VMs

Asked for by the issue on complaints: cicadagauge explain ID reads the VMs' logs (files or standard input), tells the lines of one request in the order of time, marks the one that decided and adds what the VMs that touched it came to believe in the 3 s before.

--- a/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/Main.kt
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/Main.kt
@@ -3,6 +3,7 @@
  */
 package cicadagauge.cli
 
+import cicadagauge.cli.explain.ExplainCommand
 import cicadagauge.cli.operate.ApplyCommand
 import cicadagauge.cli.operate.CheckCommand
 import cicadagauge.cli.operate.KeyCommand
@@ -37,6 +38,7 @@
     Entry("zone", "take an availability zone out, or bring it back", { OutCommand(OutCommand.Subject.Zone) }),
     Entry("upstream", "take an upstream out, or bring it back", { OutCommand(OutCommand.Subject.Upstream) }),
     Entry("key", "issue or withdraw a customer's key", ::KeyCommand),
+    Entry("explain", "tell from the VMs' logs why a request failed", { ExplainCommand() }),
 )
 
 /** Options that every command has. */
