--- a/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/explain/RequestStory.kt
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/explain/RequestStory.kt
@@ -1,6 +1,6 @@
 /*
- * What the logs of all VMs say of one request, in the order of time: its own lines, and what the VMs that touched it came
- * to believe shortly before.
+ * What the logs of all VMs say of one request, in the order of time: its own lines, and what the VMs that touched it
+ * came to believe shortly before.
  */
 package cicadagauge.cli.explain
 
