After a stall, look once more whether the caller is still there

The request and the end of its connection lie in the socket together; the loop reads the request, sends it on in the same turn, and reads the end in the next. Stalls shorter than two beats are not even seen as such. Ruled out: the deadline (it had not passed on the home's clock, which counts from its own reading), a longer memory of stalls (fresh requests would be refused). Change: for 1 s after a stall or the start a request is handed to the node one turn of the loop later, if its connection is still open by then. Tests: RequestRegistryTest; without the change the request is begun.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -47,7 +47,7 @@
     private val metrics = GatewayMetrics { status().pendingRequests }
     private val connections = UpstreamConnections(loop, settings.upstreams, environment.dialect)
     private val registry =
-        RequestRegistry(driver, connections, metrics, settings.secret, environment.dialect, log, pulse)
+        RequestRegistry(driver, connections, metrics, settings.secret, environment.dialect, log, pulse, loop)
     private val client = JsonHttpClient(loop, JsonHttpClient.proof(settings.secret, settings.node.vm.value))
     private val peers = PeerSender(client, settings.platform.peerCall)
     private val links = environment.connect(loop, driver::submit)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/LoopPulse.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/LoopPulse.kt
@@ -14,7 +14,13 @@
 internal class LoopPulse(private val clock: () -> Moment = MonotonicClock::now) {
     private var lastBeat = clock()
     private var stall = Duration.ZERO
-    private var stallEnd = Moment.PAST
+    private var stallEnd = lastBeat
+
+    /**
+     * Whether the loop stood still not long ago, or has just started to run: callers may have gone whose requests are
+     * only being read now.
+     */
+    val isRecovering: Boolean get() = clock() < stallEnd + RECOVERY
 
     /** Begins to beat on [loop]. */
     fun start(loop: EventLoop) {
@@ -53,6 +59,9 @@
     private companion object {
         val PERIOD = 50.milliseconds
 
+        /** A process that has started or stood still works off what has piled up for about as long. */
+        val RECOVERY = 1_000.milliseconds
+
         /** A few turns of a loop that runs again. */
         val AFTERMATH = 50.milliseconds
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -15,7 +15,9 @@
 import cicadagauge.node.RelayedRequest
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.Refusal
+import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpRequest
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
 /** Joins callers' requests, the node that decides about them and the upstreams that run them. */
@@ -27,6 +29,7 @@
     val dialect: Dialect,
     private val log: EventLog,
     private val pulse: LoopPulse,
+    private val loop: EventLoop,
 ) {
     private val proof = DeploymentSecret(secret)
     private val exchanges = HashMap<RequestId, Exchange>()
@@ -44,7 +47,8 @@
     /** Hands a new request to the node. */
     fun arrived(exchange: Exchange) {
         exchanges[exchange.id] = exchange
-        driver.submit(Event.RequestArrived(exchange.id, NettyRequestHead(exchange.request, dialect, pulse.lag())))
+        val head = NettyRequestHead(exchange.request, dialect, pulse.lag())
+        onceSeenAlive(exchange) { driver.submit(Event.RequestArrived(exchange.id, head)) }
     }
 
     /** Hands a request that another VM has relayed to the node. */
@@ -53,8 +57,19 @@
         exchange.customer = relayed.customer
         exchange.requestClass = relayed.requestClass
         exchange.isRelayed = true
-        val timeLeft = DefaultDialect.deadline(exchange.request.headers()) ?: Duration.ZERO
-        driver.submit(Event.RelayArrived(exchange.id, relayed, timeLeft - pulse.lag()))
+        val timeLeft = (DefaultDialect.deadline(exchange.request.headers()) ?: Duration.ZERO) - pulse.lag()
+        onceSeenAlive(exchange) { driver.submit(Event.RelayArrived(exchange.id, relayed, timeLeft)) }
+    }
+
+    /**
+     * Lets one turn of the loop pass before [submit] where the loop has stood still: a request and the end of its
+     * connection that came meanwhile are read in two turns.
+     */
+    private fun onceSeenAlive(exchange: Exchange, submit: () -> Unit) {
+        if (!pulse.isRecovering) return submit()
+        loop.execute {
+            loop.schedule({ if (exchange.id in exchanges) submit() }, TURN_MILLIS, TimeUnit.MILLISECONDS)
+        }
     }
 
     /** What [request] says of itself if another VM of this deployment has relayed it, or null. */
@@ -171,4 +186,9 @@
         if (exchange.isRelayed) return
         metrics.took(exchange.customer, exchange.requestClass, MonotonicClock.now() - exchange.arrivedAt)
     }
+
+    private companion object {
+        /** A task that is due in a while is run after the loop has looked at its connections again. */
+        const val TURN_MILLIS = 1L
+    }
 }
--- /dev/null
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/RequestRegistryTest.kt
@@ -0,0 +1,92 @@
+package cicadagauge.gateway
+
+import cicadagauge.gateway.caller.CallerHandler
+import cicadagauge.gateway.caller.Exchange
+import cicadagauge.gateway.environment.DefaultDialect
+import cicadagauge.gateway.log.EventLog
+import cicadagauge.gateway.metrics.GatewayMetrics
+import cicadagauge.gateway.upstream.UpstreamConnections
+import cicadagauge.identity.Moment
+import cicadagauge.identity.VmId
+import cicadagauge.node.Effect
+import cicadagauge.node.Event
+import cicadagauge.node.Node
+import cicadagauge.node.NodeStatus
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+
+private class RecordingNode : Node {
+    val events = ArrayList<Event>()
+
+    override fun handle(event: Event, now: Moment): List<Effect> = emptyList<Effect>().also { events += event }
+
+    override fun status(now: Moment): NodeStatus = error("nobody asks")
+}
+
+/** A registry whose loop stood still for as long as it is told. */
+private class Stalled(stall: Long) {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val node = RecordingNode()
+    private var now = Moment.ZERO
+    private val pulse = LoopPulse { now }
+    private val registry = RequestRegistry(
+        driver = NodeDriver(node, loop).apply { effects = EffectHandler { } },
+        connections = UpstreamConnections(loop, UpstreamLimits(), DefaultDialect),
+        metrics = GatewayMetrics { 0 },
+        secret = "secret",
+        dialect = DefaultDialect,
+        log = EventLog(VmId("vm")) { now },
+        pulse = pulse,
+        loop = loop,
+    )
+    private val exchange = Exchange(
+        registry.nextId(),
+        DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+        CallerHandler(registry, CallerLimits(), takesRelays = false),
+        CallerLimits(),
+    )
+
+    init {
+        now += 10.seconds
+        pulse.beat()
+        now += 10.seconds
+        pulse.beat()
+        now += stall.seconds
+        pulse.beat()
+    }
+
+    /** Reads a request, and then does [next] in the same turn of the loop; returns what the node heard of. */
+    fun read(next: RequestRegistry.(Exchange) -> Unit = {}): List<Event> {
+        loop.submit {
+            registry.arrived(exchange)
+            registry.next(exchange)
+        }.get()
+        repeat(TURNS) { loop.schedule({ }, 1, TimeUnit.MILLISECONDS).get() }
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+        return node.events
+    }
+
+    private companion object {
+        const val TURNS = 20
+    }
+}
+
+class RequestRegistryTest :
+    FunSpec({
+        test("after a stall a request whose caller turns out to have gone is not begun") {
+            val heard = Stalled(stall = 1).read { callerLeft(it) }
+            heard.none { it is Event.RequestArrived } shouldBe true
+        }
+
+        test("after a stall a request whose caller is still there is begun one turn later") {
+            Stalled(stall = 1).read().count { it is Event.RequestArrived } shouldBe 1
+        }
+    })
