Go on renewing while a planned stop waits for the store

Ruled out: the takeover itself (0.3 s once the key was free), the new promises (they were kept). Change: the duty is given up when the store has confirmed that; until then the allocator renews by the word of other VMs, and no longer counts on its lease. It then tells the others that it has stopped, so that none waits for the end of what it promised. Also: a customer's portion accrues from when the seat may be used, not from the first request after it.

--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/FailureRow.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/ownership/FailureRow.kt
@@ -137,6 +137,11 @@
                 fleet.list()
             }
         },
+        FailureRow("allocator-stopped-while-store-out", 30.seconds, limit = 100.milliseconds) {
+            fleet.store.out = true
+            later(3.seconds) { allocator().submit(Event.StopRequested) }
+            later(6.seconds) { fleet.store.out = false }
+        },
         FailureRow("zone-out-and-back", 40.seconds, limit = 100.milliseconds) {
             val zone = AvailabilityZone(fleet.traits.shape.zones.first())
             pool().upstreams.filter { it.zone == zone }.forEach { touched += it.id }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
@@ -144,7 +144,7 @@
     private fun isSeated(now: Moment): Boolean {
         if (!seated && now >= usableFrom()) {
             seated = true
-            own.empty(from = now)
+            own.empty(from = maxOf(usableFrom(), ownFrom))
         }
         return seated
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -115,7 +115,7 @@
             is Event.VmsListed -> listed(event.vms, now)
             Event.Started -> started(now)
             is Event.Suspended -> suspended(event, now)
-            Event.StopRequested -> stop(now)
+            Event.StopRequested -> stop()
             Event.Woken -> Unit
         }
     }
@@ -148,12 +148,12 @@
         timers.at(now + settings.dispatch.heatReport, ::reportHeat)
     }
 
-    private fun stop(now: Moment) {
+    private fun stop() {
         stopping = true
         vms.depart(vms.self)
         vms.peers.forEach { vms.send(it, PeerMessage.Leaving) }
         budgets.stop()
-        duties.stop(now)
+        duties.stop()
     }
 
     private fun listed(list: List<Vm>, now: Moment) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -90,9 +90,14 @@
         vms.vm(from)?.let { vms.send(it, PeerMessage.Yielded(message.pool, message.term)) }
     }
 
-    /** Takes a predecessor's confirmation. */
+    /** Takes a predecessor's confirmation, or the word of an allocator that it has stopped. */
     fun yielded(from: VmId, message: PeerMessage.Yielded, now: Moment) {
-        duties[message.pool]?.allocator?.takeIf { it.term == message.term }?.predecessorStopped(from, now)
+        val duty = duties[message.pool] ?: return
+        duty.allocator?.takeIf { it.term == message.term }?.predecessorStopped(from, now)
+        if (surroundings.owners[message.pool]?.record?.allocator == from) {
+            duty.promises.release()
+            duty.consider(now)
+        }
     }
 
     /** Takes note that [from] holds a higher term, and says how long what was promised to lower ones lasts. */
@@ -129,12 +134,12 @@
     }
 
     /** Hands every duty over; [Effect.DutiesHandedOver] follows. */
-    fun stop(now: Moment) {
+    fun stop() {
         if (stopping) return
         stopping = true
         var open = duties.size
         if (open == 0) return finishStop()
-        duties.values.forEach { duty -> duty.handOver(now) { if (--open == 0) finishStop() } }
+        duties.values.forEach { duty -> duty.handOver { if (--open == 0) finishStop() } }
     }
 
     private fun finishStop() {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyPromises.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyPromises.kt
@@ -35,6 +35,11 @@
         until = maxOf(until, now + settings.outagePromise)
     }
 
+    /** The allocator that was promised something has stopped. */
+    fun release() {
+        until = Moment.PAST
+    }
+
     /** The term was raised to [term]: lower ones are promised nothing more. Returns how long the last promise lasts. */
     fun termRaised(term: Term, now: Moment): Duration {
         raisedTerm = maxOf(raisedTerm, term)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
@@ -14,6 +14,7 @@
 import cicadagauge.identity.VmId
 import cicadagauge.node.Effect
 import cicadagauge.node.StateChange
+import cicadagauge.peer.PeerMessage
 import cicadagauge.store.StoreCall
 import cicadagauge.store.StoreEntry
 import cicadagauge.store.StoreKey
@@ -339,11 +340,28 @@
         store.call(StoreCall.Delete(dutyKey, keyRevision)) { _, _ -> }
     }
 
-    /** Gives the duty up, because the process stops, and calls [done] once the store knows. */
-    fun handOver(now: Moment, done: () -> Unit) {
+    /**
+     * Gives the duty up, because the process stops, and calls [done] once the store knows. Where it doesn't answer
+     * nobody can take over, so what was granted is renewed meanwhile by the word of other VMs.
+     */
+    fun handOver(done: () -> Unit) {
         stopping = true
+        heldSince = null
         if (allocator == null) return done()
+        store.call(StoreCall.Delete(dutyKey, keyRevision)) { reply, moment ->
+            if (reply == StoreReply.Unavailable && allocator != null) {
+                timers.at(moment + settings.storeRetry) { handOver(done) }
+            } else {
+                stopped(moment)
+                done()
+            }
+        }
+    }
+
+    /** Tells the others that no order comes any more, so that nobody waits for the end of a promise. */
+    private fun stopped(now: Moment) {
+        val term = allocator?.term ?: return
         lost(now)
-        store.call(StoreCall.Delete(dutyKey, keyRevision)) { _, _ -> done() }
+        vms.peers.forEach { vms.send(it, PeerMessage.Yielded(pool.name, term.next())) }
     }
 }
