--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
@@ -39,8 +39,7 @@
     private var before = table
     private var shrinkingSince = start
     private val claimUntil = start + settings.renewal
-    private val proof =
-        PredecessorProof(initial, vms, settings, start, ::predecessorsStopped)
+    private val proof = PredecessorProof(initial, vms, settings, start, ::predecessorsStopped)
     private val settlingTime = settings.lease * (1 + 2 * settings.clockDrift)
     private val fresh = initial.predecessors.isEmpty()
     private val reachable = HashSet<UpstreamId>()
@@ -96,8 +95,8 @@
         context.lost(now)
     }
 
-    private fun predecessorsStopped(at: Moment, now: Moment) {
-        holders.values.forEach { it.proveLapse(at + settlingTime) }
+    private fun predecessorsStopped(stoppedAt: Moment, now: Moment) {
+        holders.values.forEach { it.proveLapse(stoppedAt + settlingTime) }
         advance(now)
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
@@ -42,8 +42,9 @@
     private val doubted = DoubtedOwners(pool.name, orders, times)
     private var record = initial
     private var tracks = emptyList<RangeTrack>()
-    private val proof =
-        PredecessorProof(initial, vms, settings, start, ::predecessorsStopped)
+    private val proof = PredecessorProof(initial, vms, settings, start) { stoppedAt, _ ->
+        tracks.forEach { it.proveLapse(stoppedAt + settling) }
+    }
     private var isWriting = false
     private var isStopped = false
     private var plannedAt = Moment.PAST
@@ -69,10 +70,6 @@
 
     override fun termNoted(vm: VmId, lasting: Duration, now: Moment): Unit = proof.noted(vm, lasting, now)
 
-    private fun predecessorsStopped(at: Moment, @Suppress("UNUSED_PARAMETER") now: Moment) {
-        tracks.forEach { it.proveLapse(at + settling) }
-    }
-
     override fun stop() {
         isStopped = true
     }
