Count who goes before a request in one way, and a target's pace once

FairQueue had two forms of the same count (of a new item, and of one that waits); the one is the other with the customer's last place. The walk through a queue every 10 ms computed who serves a target, its pauses and its rate for each waiting request; it does so once now. The daemon's companion stands at its end.

--- a/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/run/Daemon.kt
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/run/Daemon.kt
@@ -9,18 +9,10 @@
 
 /** Runs a started gateway as a process. [reload] is called on SIGHUP, which would end the process otherwise. */
 internal class Daemon(private val gateway: Gateway, private val reload: () -> Unit = {}) {
-    private companion object {
-        val LOG = LogManager.getLogger("cicadagauge")
-    }
-
     /** Returns once SIGTERM has come and the gateway has stopped, which may take [limit]. */
     fun runUntilStopped(limit: Duration): ExitCode {
-        if (!HangUp.handle(
-                reload,
-            )
-        ) {
-            LOG.warn("hang-ups are ignored by the parent process, so settings are not read again")
-        }
+        val isHeard = HangUp.handle(reload)
+        if (!isHeard) LOG.warn("hang-ups are ignored by the parent process, so settings are not read again")
         val asked = CountDownLatch(1)
         val stopped = CountDownLatch(1)
         val whole = AtomicReference(true)
@@ -37,4 +29,8 @@
         stopped.countDown()
         return if (whole.get()) ExitCode.Ok else ExitCode.Failed
     }
+
+    private companion object {
+        val LOG = LogManager.getLogger("cicadagauge")
+    }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/FairQueue.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/FairQueue.kt
@@ -91,30 +91,19 @@
         fun countOf(customer: CustomerName): Int = byCustomer[customer]?.size ?: 0
 
         fun removeByPosition(predicate: (T, ahead: Int) -> Boolean): List<T> {
-            val sizes = byCustomer.mapValues { it.value.size }
             val removed = byCustomer.flatMap { (customer, items) ->
-                items.filterIndexed { index, item -> predicate(item, aheadOf(customer, index, sizes)) }
+                items.filterIndexed { index, item -> predicate(item, aheadOf(customer, index)) }
             }
             removed.forEach(::remove)
             return removed
         }
 
-        private fun aheadOf(customer: CustomerName, index: Int, sizes: Map<CustomerName, Int>): Int =
-            sizes.entries.sumOf { (other, size) -> if (other == customer) index else minOf(size, index + 1) }
+        private fun aheadOf(customer: CustomerName, index: Int): Int = byCustomer.entries.sumOf { (other, items) ->
+            if (other == customer) index else minOf(items.size, index + 1)
+        }
 
         /** With turns between customers, at most as many of each other customer go first as wait of [customer]. */
-        fun ahead(customer: CustomerName): Int {
-            val mine = countOf(customer)
-            return byCustomer.entries.sumOf { (other, items) ->
-                if (other ==
-                    customer
-                ) {
-                    mine
-                } else {
-                    minOf(items.size, mine + 1)
-                }
-            }
-        }
+        fun ahead(customer: CustomerName): Int = aheadOf(customer, countOf(customer))
 
         fun removeIf(predicate: (T) -> Boolean): List<T> {
             val removed = byCustomer.values.flatMap { items -> items.filter(predicate) }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
@@ -249,26 +249,27 @@
         reservation: Reservation,
         queue: FairQueue<Reservation>,
         now: Moment,
-    ): Duration = waitBehind(target, queue.ahead(reservation.requestClass, reservation.customer), now)
+    ): Duration = waits(target, now)(queue.ahead(reservation.requestClass, reservation.customer))
 
-    /** How long a request should wait with [ahead] before it; where all places are taken one has to become free. */
-    private fun waitBehind(target: Target, ahead: Int, now: Moment): Duration {
+    /** How long a request should wait at [target] by how many are before it; without a free place one must end. */
+    private fun waits(target: Target, now: Moment): (ahead: Int) -> Duration {
         val serving = servingOf(target)
-        if (serving.isEmpty()) return Duration.ZERO
-        val isFree = ahead == 0 && serving.any { it.isFree(now) }
-        if (isFree) return Duration.ZERO
+        if (serving.isEmpty()) return { Duration.ZERO }
+        val isFree = serving.any { it.isFree(now) }
         val pause = serving.minOf { it.pauseLeft(now) }
-        return pause + ((ahead + UNTIL_FREE) / serving.sumOf { it.rate(now) }).seconds
+        val rate = serving.sumOf { it.rate(now) }
+        return { ahead -> if (ahead == 0 && isFree) Duration.ZERO else pause + ((ahead + UNTIL_FREE) / rate).seconds }
     }
 
     /** Denies those that have been overtaken by so many that they can't be answered in time any more. */
     private fun denyHopeless(target: Target, queue: FairQueue<Reservation>, now: Moment) {
         val run = usualTime(target) * RUN_PART
+        val wait = waits(target, now)
         val hopeless = queue.removeByPosition { reservation, ahead ->
-            now + waitBehind(target, ahead, now) + run > reservation.deadline + HOPELESS_MARGIN
+            now + wait(ahead) + run > reservation.deadline + HOPELESS_MARGIN
         }
-        val wait = waitBehind(target, queue.size, now)
-        hopeless.forEach { deny(it, Refusal(Reason.Overloaded, "others went before it", wait), now) }
+        val refusal = Refusal(Reason.Overloaded, "others went before it", wait(queue.size))
+        hopeless.forEach { deny(it, refusal, now) }
     }
 
     private fun servingOf(target: Target): List<UpstreamLoad> =
