--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -84,6 +84,9 @@
     /** An upstream has handled a grant order with the result [report]. */
     fun onGrantReport(fleet: VirtualFleet, report: GrantReport) = Unit
 
+    /** [request] arrives at [upstream], which may reject it. */
+    fun onRequestArrived(fleet: VirtualFleet, upstream: VirtualUpstream, request: Effect.Forward) = Unit
+
     /** [request] starts to run at [upstream]. */
     fun onRequestStarted(fleet: VirtualFleet, upstream: VirtualUpstream, request: Effect.Forward) = Unit
 
@@ -94,7 +97,7 @@
 /** A simulated deployment with the configuration [settings]. */
 class VirtualFleet(val settings: FleetSettings, private val observer: FleetObserver = object : FleetObserver {}) {
     private val random = Random(settings.seed)
-    private val callbacks = HashMap<Pair<VmId, RequestId>, (RequestResult) -> Unit>()
+    private val openRequests = HashMap<RequestId, OpenRequest>()
     private var lastRequestId = 0L
     private var lastVmNumber = 0
     private val runningVms = HashMap<VmId, VirtualVm>()
@@ -121,6 +124,9 @@
     /** The running VMs. */
     val vms = ArrayList<VirtualVm>()
 
+    /** A request that is not answered yet. A relayed one has another id on its home VM. */
+    private class OpenRequest(val head: RequestHead, val onResult: (RequestResult) -> Unit)
+
     private class PublishedList(val visibleAt: Long, val vms: List<VirtualVm>)
 
     /** Stores the declaration, starts all VMs and publishes the VM list. */
@@ -174,10 +180,13 @@
     /** Sends a request to [vm]. [onResult] receives the result, at most once. */
     fun request(vm: VirtualVm, head: RequestHead, onResult: (RequestResult) -> Unit) {
         val id = RequestId(++lastRequestId)
-        callbacks[vm.id to id] = onResult
+        openRequests[id] = OpenRequest(head, onResult)
         vm.submit(Event.RequestArrived(id, head))
     }
 
+    /** The head of the request with [id], which a caller sent or a VM relayed; null once it is answered. */
+    fun headOf(id: RequestId): RequestHead? = openRequests[id]?.head
+
     private fun newClock() = VirtualClock(
         time = time,
         offset = 1 + random.nextInt(MAX_CLOCK_OFFSET_100_NANOS).toLong() * 100,
@@ -199,7 +208,7 @@
             is Effect.SendRangeOrder -> vm.submit(Event.RangeOrderEnded(effect.id, RangeOrderOutcome.Rejected))
             is Effect.Forward -> forward(vm, effect)
             is Effect.Relay -> relay(vm, effect)
-            is Effect.Refuse -> callbacks.remove(vm.id to effect.id)?.invoke(RequestResult.Refused(effect.refusal))
+            is Effect.Refuse -> openRequests.remove(effect.id)?.onResult(RequestResult.Refused(effect.refusal))
             is Effect.StateChanged -> observer.onStateChange(this, vm, effect.change)
             is Effect.Classify, is Effect.WakeAt, Effect.DutiesHandedOver -> Unit
         }
@@ -240,6 +249,7 @@
             return
         }
         network.sendOnConnection(vm.endpoint, upstream.endpoint) {
+            observer.onRequestArrived(this, upstream, effect)
             upstream.run(effect.slot, {
                 observer.onRequestStarted(this, upstream, effect)
             }) { result -> sendResult(vm, upstream, result, complete) }
@@ -264,8 +274,9 @@
         home.onCrash { complete(AttemptOutcome.Lost(timedOut = false)) }
         val remaining = (effect.deadline - vm.now())
         network.sendOnConnection(vm.endpoint, home.endpoint) {
+            val request = openRequests[effect.id] ?: return@sendOnConnection
             val id = RequestId(++lastRequestId)
-            callbacks[home.id to id] = { result ->
+            openRequests[id] = OpenRequest(request.head) { result ->
                 network.sendOnConnection(home.endpoint, vm.endpoint) {
                     complete(
                         if (result is RequestResult.Refused) {
@@ -289,13 +300,14 @@
         network.sendOnConnection(upstream.endpoint, vm.endpoint) {
             when (result) {
                 RunResult.Ran -> complete(AttemptOutcome.Answered(STATUS_OK))
+                RunResult.AnswerLost -> complete(AttemptOutcome.Lost(timedOut = false))
                 is RunResult.NotRun -> complete(AttemptOutcome.NotRun(result.cause))
             }
         }
     }
 
     private fun endAttempt(vm: VirtualVm, id: RequestId, outcome: AttemptOutcome) {
-        if (outcome is AttemptOutcome.Answered) callbacks.remove(vm.id to id)?.invoke(RequestResult.Answered)
+        if (outcome is AttemptOutcome.Answered) openRequests.remove(id)?.onResult(RequestResult.Answered)
         vm.submit(Event.AttemptEnded(id, outcome))
     }
 
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualUpstream.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualUpstream.kt
@@ -14,6 +14,9 @@
     /** The request ran and took effect. */
     data object Ran : RunResult
 
+    /** The request ran and took effect, but the connection was closed without an answer. */
+    data object AnswerLost : RunResult
+
     /** The request did not run, or its run had no effect, because of [cause]. */
     data class NotRun(val cause: NotRunCause) : RunResult
 }
@@ -47,6 +50,12 @@
     var frozen = false
         private set
 
+    /** Whether the upstream rejects every request as if it had no free capacity. */
+    var rejectsRequests = false
+
+    /** Whether the upstream runs requests but closes the connection instead of answering. */
+    var losesAnswers = false
+
     /** Whether the upstream may run a request for [slot] now, by its own clock. */
     fun owns(slot: Slot): Boolean = !crashed && model.owns(slot, clock.now())
 
@@ -59,6 +68,7 @@
      */
     fun run(slot: Slot?, onStarted: () -> Unit, onEnded: (RunResult) -> Unit) = runOrDefer {
         val current = model
+        if (rejectsRequests) return@runOrDefer onEnded(RunResult.NotRun(NotRunCause.Busy))
         when (val start = current.start(slot, clock.now())) {
             is UpstreamModel.StartResult.Refused -> onEnded(RunResult.NotRun(start.cause))
             is UpstreamModel.StartResult.Started -> {
@@ -111,6 +121,7 @@
             return
         }
         val effective = run.finish(start, clock.now())
+        if (losesAnswers) return onEnded(RunResult.AnswerLost)
         onEnded(if (effective) RunResult.Ran else RunResult.NotRun(NotRunCause.NotOwner))
     }
 
--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/ownership/OwnershipTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/ownership/OwnershipTest.kt
@@ -11,7 +11,7 @@
 class OwnershipTest :
     FunSpec({
         val knownFailures = KnownFailure.read()
-        knownFailures.forEach { println("listed in KNOWN-RED.txt, skipped: $it") }
+        knownFailures.forEach { println("listed in KNOWN-RED.txt: $it") }
 
         for (scenario in FailureScenarios.all) {
             val name = "ownership holds through ${scenario.name}"
