Make requests of the same content and crashes of upstreams visible

Change: `attempt-ended` and `request-refused` carry a fingerprint, equal for equal method, path, query and body. After a connection with a request on it broke, the VM tries a new one; an upstream that refuses it is logged as `upstream-crashed` with the fingerprints of the requests that this VM had there. `cicadagauge_repeats_total` counts attempts of requests that had reached an upstream before, by pool. No decision depends on any of them.

Ruled out as a sign of a crash: a lapsed registration (late, and lapses while the store is away), a reset alone (full upstreams reset, answers get lost).

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Effect.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Effect.kt
@@ -4,6 +4,7 @@
 import cicadagauge.identity.Address
 import cicadagauge.identity.CustomerName
 import cicadagauge.identity.Moment
+import cicadagauge.identity.PoolName
 import cicadagauge.identity.RecordVersion
 import cicadagauge.identity.RequestId
 import cicadagauge.identity.Slot
@@ -27,6 +28,8 @@
      * @property slot slot of the request's key, or null if the pool is not keyed.
      * @property version version of the ownership record by which the upstream owns [slot], or null.
      * @property customer customer that sent the request, or null on an open route.
+     * @property pool pool of the upstream.
+     * @property isRepeat whether an earlier attempt has reached an upstream.
      */
     public data class Forward(
         val id: RequestId,
@@ -37,6 +40,8 @@
         val version: RecordVersion?,
         val deadline: Moment,
         val customer: CustomerName? = null,
+        val pool: PoolName,
+        val isRepeat: Boolean = false,
     ) : Effect
 
     /**
@@ -44,6 +49,7 @@
      *
      * @property deadline deadline of the request, which the home VM enforces.
      * @property giveUpAt when the attempt ends if the home VM has not answered.
+     * @property isRepeat whether an earlier attempt has reached an upstream.
      */
     public data class Relay(
         val id: RequestId,
@@ -52,8 +58,12 @@
         val request: RelayedRequest,
         val deadline: Moment,
         val giveUpAt: Moment,
+        val isRepeat: Boolean = false,
     ) : Effect
 
+    /** Opens a connection to [upstream] and closes it; exactly one [Event.UpstreamChecked] follows. */
+    public data class CheckUpstream(val upstream: UpstreamId, val address: Address) : Effect
+
     /** Answers a request with [refusal]; no further attempt is made. */
     public data class Refuse(val id: RequestId, val refusal: Refusal) : Effect
 
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
@@ -1,6 +1,8 @@
 package cicadagauge.node
 
+import cicadagauge.identity.BodyDigest
 import cicadagauge.identity.RequestId
+import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
 import cicadagauge.membership.Vm
 import cicadagauge.outcome.AttemptOutcome
@@ -21,10 +23,22 @@
     public data class RequestArrived(val id: RequestId, val head: RequestHead) : Event
 
     /** A request arrived that another VM has admitted and relayed; [timeLeft] is the time until its deadline. */
-    public data class RelayArrived(val id: RequestId, val request: RelayedRequest, val timeLeft: Duration) : Event
+    public data class RelayArrived(
+        val id: RequestId,
+        val request: RelayedRequest,
+        val head: RequestHead,
+        val timeLeft: Duration,
+    ) : Event
 
-    /** An attempt that was started by [Effect.Forward] or [Effect.Relay] has ended. */
-    public data class AttemptEnded(val id: RequestId, val outcome: AttemptOutcome) : Event
+    /**
+     * An attempt that was started by [Effect.Forward] or [Effect.Relay] has ended.
+     *
+     * @property body digest of the request's body, or null if too little of the body has been read.
+     */
+    public data class AttemptEnded(val id: RequestId, val outcome: AttemptOutcome, val body: BodyDigest? = null) : Event
+
+    /** The outcome of the check that was started by [Effect.CheckUpstream]. */
+    public data class UpstreamChecked(val upstream: UpstreamId, val state: UpstreamState) : Event
 
     /** The caller of a queued request disconnected. */
     public data class CallerDisconnected(val id: RequestId) : Event
@@ -57,6 +71,18 @@
     public data object StopRequested : Event
 }
 
+/** What an attempt to connect to an upstream shows. */
+public enum class UpstreamState {
+    /** The upstream accepts connections. */
+    Accepting,
+
+    /** Connections are refused: the upstream's process has ended. */
+    Refusing,
+
+    /** Nothing answers, which does not tell a lost host from a network partition. */
+    Silent,
+}
+
 /** The parts of a request on which routing and admission depend. Header names are case-insensitive. */
 public interface RequestHead {
     /** The HTTP method, in upper case. */
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -4,6 +4,7 @@
 import cicadagauge.identity.DeclarationVersion
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.RecordVersion
+import cicadagauge.identity.RequestFingerprint
 import cicadagauge.identity.Term
 import cicadagauge.identity.UpstreamId
 import kotlin.time.Duration
@@ -37,6 +38,9 @@
     /** [upstream] started or stopped answering grant orders. */
     public data class UpstreamReachable(val upstream: UpstreamId, val reachable: Boolean) : StateChange
 
+    /** The process of [upstream] ended while it was running [requests] of this VM, among others. */
+    public data class UpstreamCrashed(val upstream: UpstreamId, val requests: Set<RequestFingerprint>) : StateChange
+
     /** The wall clock has advanced by [unseen] more than the monotonic clock; negative if it was set back. */
     public data class Suspended(val unseen: Duration) : StateChange
 
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -8,6 +8,7 @@
 import cicadagauge.declaration.DeclarationWriter
 import cicadagauge.identity.Address
 import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.BodyDigest
 import cicadagauge.identity.DeclarationVersion
 import cicadagauge.identity.Moment
 import cicadagauge.identity.OperationId
@@ -19,6 +20,7 @@
 import cicadagauge.node.NodeSettings
 import cicadagauge.node.RequestHead
 import cicadagauge.node.StateChange
+import cicadagauge.node.UpstreamState
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
 import cicadagauge.outcome.Refusal
@@ -125,7 +127,7 @@
     val vms = ArrayList<VirtualVm>()
 
     /** A request that is not answered yet. A relayed one has another id on its home VM. */
-    private class OpenRequest(val head: RequestHead, val onResult: (RequestResult) -> Unit)
+    private class OpenRequest(val head: RequestHead, val body: BodyDigest, val onResult: (RequestResult) -> Unit)
 
     private class PublishedList(val visibleAt: Long, val vms: List<VirtualVm>)
 
@@ -178,9 +180,14 @@
     }
 
     /** Sends a request to [vm]. [onResult] receives the result, at most once. */
-    fun request(vm: VirtualVm, head: RequestHead, onResult: (RequestResult) -> Unit) {
+    fun request(
+        vm: VirtualVm,
+        head: RequestHead,
+        body: BodyDigest = BodyDigest(0),
+        onResult: (RequestResult) -> Unit,
+    ) {
         val id = RequestId(++lastRequestId)
-        openRequests[id] = OpenRequest(head, onResult)
+        openRequests[id] = OpenRequest(head, body, onResult)
         vm.submit(Event.RequestArrived(id, head))
     }
 
@@ -208,6 +215,7 @@
             is Effect.SendRangeOrder -> vm.submit(Event.RangeOrderEnded(effect.id, RangeOrderOutcome.Rejected))
             is Effect.Forward -> forward(vm, effect)
             is Effect.Relay -> relay(vm, effect)
+            is Effect.CheckUpstream -> check(vm, effect)
             is Effect.Refuse -> openRequests.remove(effect.id)?.onResult(RequestResult.Refused(effect.refusal))
             is Effect.StateChanged -> observer.onStateChange(this, vm, effect.change)
             is Effect.Classify, is Effect.WakeAt, Effect.DutiesHandedOver -> Unit
@@ -257,6 +265,14 @@
         upstream.onCrash { complete(AttemptOutcome.Lost(timedOut = false)) }
     }
 
+    private fun check(vm: VirtualVm, effect: Effect.CheckUpstream) {
+        val upstream = upstreams.getValue(effect.upstream)
+        val state = if (upstream.crashed) UpstreamState.Refusing else UpstreamState.Accepting
+        time.after(network.delay(vm.endpoint, upstream.endpoint) * 2) {
+            vm.submit(Event.UpstreamChecked(effect.upstream, state))
+        }
+    }
+
     private fun relay(vm: VirtualVm, effect: Effect.Relay) {
         var done = false
         val complete = { outcome: AttemptOutcome ->
@@ -276,7 +292,7 @@
         network.sendOnConnection(vm.endpoint, home.endpoint) {
             val request = openRequests[effect.id] ?: return@sendOnConnection
             val id = RequestId(++lastRequestId)
-            openRequests[id] = OpenRequest(request.head) { result ->
+            openRequests[id] = OpenRequest(request.head, request.body) { result ->
                 network.sendOnConnection(home.endpoint, vm.endpoint) {
                     complete(
                         if (result is RequestResult.Refused) {
@@ -287,7 +303,7 @@
                     )
                 }
             }
-            home.submit(Event.RelayArrived(id, effect.request, remaining))
+            home.submit(Event.RelayArrived(id, effect.request, request.head, remaining))
         }
     }
 
@@ -307,8 +323,9 @@
     }
 
     private fun endAttempt(vm: VirtualVm, id: RequestId, outcome: AttemptOutcome) {
+        val body = openRequests[id]?.body
         if (outcome is AttemptOutcome.Answered) openRequests.remove(id)?.onResult(RequestResult.Answered)
-        vm.submit(Event.AttemptEnded(id, outcome))
+        vm.submit(Event.AttemptEnded(id, outcome, body))
     }
 
     private companion object {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
@@ -18,6 +18,7 @@
 import cicadagauge.node.RequestHead
 import cicadagauge.outcome.Reason
 import cicadagauge.outcome.Refusal
+import cicadagauge.quarantine.RequestDigests
 import cicadagauge.routing.OwnerDirectory
 import cicadagauge.routing.RouteMatch
 import cicadagauge.routing.RouteTable
@@ -71,6 +72,7 @@
             slot = slot.takeIf { match.pool.keyed },
             deadline = now + minOf(limit, route.deadline) - head.readLag,
             maxRuns = route.maxAttempts,
+            head = RequestDigests.of(head),
             zoneSelector = dispatcher.homeDirectory.zoneSelectorFor(match.pool),
         )
         if (customer == null || !customer.isLimited) return dispatcher.accept(request, now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -7,6 +7,7 @@
 import cicadagauge.declaration.Declaration
 import cicadagauge.declaration.Pool
 import cicadagauge.declaration.Upstream
+import cicadagauge.identity.BodyDigest
 import cicadagauge.identity.Moment
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.RequestId
@@ -19,7 +20,9 @@
 import cicadagauge.node.Effects
 import cicadagauge.node.HomePolicy
 import cicadagauge.node.RelayedRequest
+import cicadagauge.node.RequestHead
 import cicadagauge.node.Timers
+import cicadagauge.node.UpstreamState
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
 import cicadagauge.outcome.Reason
@@ -27,6 +30,8 @@
 import cicadagauge.outcome.Verdict
 import cicadagauge.peer.PeerMessage
 import cicadagauge.peer.PermitResult
+import cicadagauge.quarantine.CrashDetector
+import cicadagauge.quarantine.RequestDigests
 import cicadagauge.routing.OwnerDirectory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -48,6 +53,7 @@
     private val retryBudget = RetryBudget(settings)
     private val permitsLastGranted = HashMap<PermitSource, Moment>()
     private val homeMonitor = HomeMonitor(vms, settings)
+    private val crashDetector = CrashDetector(effects)
 
     /** Determines the home VM of each request. */
     val homeDirectory: HomeDirectory = HomeDirectory(vms, owners, settings)
@@ -91,7 +97,7 @@
     }
 
     /** Dispatches a request that another VM has admitted and relayed here. */
-    fun acceptRelayed(id: RequestId, relayed: RelayedRequest, timeLeft: Duration, now: Moment) {
+    fun acceptRelayed(id: RequestId, relayed: RelayedRequest, head: RequestHead, timeLeft: Duration, now: Moment) {
         val pool = pools[relayed.pool] ?: return effects.add(Effect.Refuse(id, HomeSchedulers.NO_POOL))
         val request = PendingRequest(
             id = id,
@@ -103,14 +109,19 @@
             deadline = now + timeLeft - settings.relayMargin,
             isRelayedHere = true,
             maxRuns = relayed.maxRuns,
+            head = RequestDigests.of(head),
             zoneSelector = ZoneSelector(listOfNotNull(relayed.zone), isFinal = !relayed.maySpill),
         )
         accept(request, now)
     }
 
-    /** Handles the end of an attempt of request [id]; ignored if the request is no longer pending. */
-    fun attemptEnded(id: RequestId, outcome: AttemptOutcome, now: Moment) {
+    /**
+     * Handles the end of an attempt of request [id], whose body has the digest [body] if that is known. Ignored if the
+     * request is no longer pending.
+     */
+    fun attemptEnded(id: RequestId, outcome: AttemptOutcome, now: Moment, body: BodyDigest? = null) {
         val request = requests[id] ?: return
+        if (body != null) request.body = body
         when (val state = request.state) {
             is PendingRequest.State.Running -> upstreamAttemptEnded(request, state, outcome, now)
             is PendingRequest.State.Relayed -> relayedAttemptEnded(request, state, outcome, now)
@@ -118,6 +129,11 @@
         }
     }
 
+    /** Handles the outcome of the check of [upstream] that followed a broken connection. */
+    fun upstreamChecked(upstream: UpstreamId, state: UpstreamState) {
+        crashDetector.checked(upstream, state)
+    }
+
     private fun relayedAttemptEnded(
         request: PendingRequest,
         state: PendingRequest.State.Relayed,
@@ -157,7 +173,12 @@
             is AttemptOutcome.Answered, AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
             is AttemptOutcome.Refused -> refuse(request, outcome.refusal, now)
             is AttemptOutcome.NotRun -> notRun(request, outcome, now)
-            is AttemptOutcome.Lost -> lost(request, outcome, now)
+            is AttemptOutcome.Lost -> {
+                if (!outcome.timedOut) {
+                    upstreams[state.upstream]?.let { crashDetector.connectionBroke(it, request.fingerprint) }
+                }
+                lost(request, outcome, now)
+            }
         }
     }
 
@@ -247,7 +268,17 @@
         )
         // Wait past the deadline: the home answers before it, and only the home knows whether the request has run.
         val giveUpAt = request.deadline + settings.relayMargin
-        effects.add(Effect.Relay(request.id, home.id, home.callers, relayed, request.deadline, giveUpAt))
+        effects.add(
+            Effect.Relay(
+                id = request.id,
+                home = home.id,
+                address = home.callers,
+                request = relayed,
+                deadline = request.deadline,
+                giveUpAt = giveUpAt,
+                isRepeat = request.hasReachedUpstream,
+            ),
+        )
     }
 
     private fun forward(request: PendingRequest, home: VmId, upstream: UpstreamId, now: Moment) {
@@ -271,6 +302,8 @@
                 version = version,
                 deadline = request.deadline,
                 customer = request.customer.takeIf { it != PendingRequest.NO_CUSTOMER },
+                pool = request.pool.name,
+                isRepeat = request.hasReachedUpstream,
             ),
         )
     }
@@ -278,6 +311,7 @@
     private fun notRun(request: PendingRequest, outcome: AttemptOutcome.NotRun, now: Moment) {
         val refusal = refusalOf(outcome.cause)
         val reachedUpstream = outcome.cause != NotRunCause.Unreachable
+        if (reachedUpstream) request.hasReachedUpstream = true
         val mayRepeat = outcome.replayable && (!reachedUpstream || retryBudget.tryTake())
         if (mayRepeat) backOff(request, refusal, now) else refuse(request, refusal, now)
     }
@@ -286,6 +320,7 @@
         val timedOut = outcome.timedOut || now >= request.deadline
         if (timedOut) return refuse(request, DEADLINE_DURING_RUN, now)
         request.runs++
+        request.hasReachedUpstream = true
         if (request.idempotent && request.runs < request.maxRuns && retryBudget.tryTake()) {
             return backOff(request, CONNECTION_BROKEN, now)
         }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
@@ -3,8 +3,11 @@
 import cicadagauge.declaration.DeclarationDefaults
 import cicadagauge.declaration.Pool
 import cicadagauge.declaration.RequestClass
+import cicadagauge.identity.BodyDigest
 import cicadagauge.identity.CustomerName
+import cicadagauge.identity.HeadDigest
 import cicadagauge.identity.Moment
+import cicadagauge.identity.RequestFingerprint
 import cicadagauge.identity.RequestId
 import cicadagauge.identity.Slot
 import cicadagauge.identity.UpstreamId
@@ -17,6 +20,7 @@
  * @property isRelayedHere whether another VM admitted the request and relayed it here. This VM then acts as its home,
  *     even if by its own view of the VMs another one is.
  * @property maxRuns how many attempts may have run at an upstream before the request is no longer retried
+ * @property head the digest of the request's head
  * @property zoneSelector the zones that may serve a request without a key
  */
 internal class PendingRequest(
@@ -29,6 +33,7 @@
     val deadline: Moment,
     val isRelayedHere: Boolean = false,
     val maxRuns: Int = DeclarationDefaults.MAX_ATTEMPTS,
+    val head: HeadDigest,
     val zoneSelector: ZoneSelector = ZoneSelector(emptyList()),
 ) {
     var state: State = State.Idle
@@ -39,6 +44,15 @@
     /** The number of attempts that may have run. */
     var runs = 0
 
+    /** Whether an attempt has reached an upstream, which may have rejected it. */
+    var hasReachedUpstream = false
+
+    /** The digest of the body, or null if too little of the body is known. */
+    var body: BodyDigest? = null
+
+    /** The fingerprint of the request, or null if too little of its body is known. */
+    val fingerprint: RequestFingerprint? get() = body?.let { RequestFingerprint(customer, head, it) }
+
     /** The step that the request is in. */
     sealed interface State {
         /** Between two steps; not kept beyond the handling of one event. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -105,8 +105,9 @@
     private fun handleEvent(event: Event, now: Moment) {
         when (event) {
             is Event.RequestArrived -> admission.arrived(event.id, event.head, now)
-            is Event.RelayArrived -> dispatcher.acceptRelayed(event.id, event.request, event.timeLeft, now)
-            is Event.AttemptEnded -> dispatcher.attemptEnded(event.id, event.outcome, now)
+            is Event.RelayArrived -> dispatcher.acceptRelayed(event.id, event.request, event.head, event.timeLeft, now)
+            is Event.AttemptEnded -> dispatcher.attemptEnded(event.id, event.outcome, now, event.body)
+            is Event.UpstreamChecked -> dispatcher.upstreamChecked(event.upstream, event.state)
             is Event.CallerDisconnected -> dispatcher.callerLeft(event.id, now)
             is Event.PeerMessageReceived -> handlePeerMessage(event.from, event.message, now)
             is Event.GrantReported -> duties.grantReported(event.report, now)
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
@@ -7,6 +7,7 @@
 import cicadagauge.identity.Address
 import cicadagauge.identity.AvailabilityZone
 import cicadagauge.identity.CustomerName
+import cicadagauge.identity.HeadDigest
 import cicadagauge.identity.Moment
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.RequestId
@@ -62,6 +63,7 @@
             customer = CustomerName("c"),
             slot = null,
             deadline = now + 300.milliseconds,
+            head = HeadDigest(1),
             zoneSelector = dispatcher.homeDirectory.zoneSelectorFor(pool),
         )
         dispatcher.accept(request, now)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -159,6 +159,9 @@
         when (effect) {
             is Effect.Forward -> registry.forward(effect)
             is Effect.Relay -> registry.relay(effect)
+            is Effect.CheckUpstream -> connections.check(effect.address) {
+                driver.submit(Event.UpstreamChecked(effect.upstream, it))
+            }
             is Effect.Refuse -> registry.refuse(effect)
             is Effect.Classify -> registry.attribute(effect)
             is Effect.SendPeer -> peers.send(effect.to, effect.address, effect.message)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -15,6 +15,7 @@
 import cicadagauge.node.RelayedRequest
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.Refusal
+import cicadagauge.quarantine.RequestDigests
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpRequest
 import java.util.concurrent.TimeUnit
@@ -58,7 +59,8 @@
         exchange.requestClass = relayed.requestClass
         exchange.isRelayed = true
         val timeLeft = (DefaultDialect.deadline(exchange.request.headers()) ?: Duration.ZERO) - loopMonitor.lag()
-        afterPendingDisconnects(exchange) { driver.submit(Event.RelayArrived(exchange.id, relayed, timeLeft)) }
+        val head = NettyRequestHead(exchange.request, dialect, readLag = Duration.ZERO)
+        afterPendingDisconnects(exchange) { driver.submit(Event.RelayArrived(exchange.id, relayed, head, timeLeft)) }
     }
 
     /**
@@ -110,10 +112,16 @@
     }
 
     /** Sends a request to an upstream, as the node has decided. */
-    fun forward(effect: Effect.Forward): Unit = send(Hop.of(effect, dialect))
+    fun forward(effect: Effect.Forward) {
+        if (effect.isRepeat) metrics.countRepeat(effect.pool)
+        send(Hop.of(effect, dialect))
+    }
 
     /** Sends a request to its home VM, as the node has decided. */
-    fun relay(effect: Effect.Relay): Unit = send(Hop.of(effect, secret, dialect))
+    fun relay(effect: Effect.Relay) {
+        if (effect.isRepeat) metrics.countRepeat(effect.request.pool)
+        send(Hop.of(effect, secret, dialect))
+    }
 
     private fun send(hop: Hop) {
         val exchange = exchanges[hop.id]
@@ -143,6 +151,7 @@
     private fun logRefusal(exchange: Exchange, refusal: Refusal): Unit = log.write(
         "request-refused",
         "request" to dialect.requestId(exchange.request.headers()),
+        "fingerprint" to fingerprintOf(exchange),
         "customer" to exchange.customer,
         "class" to exchange.requestClass,
         "relayed" to exchange.isRelayed,
@@ -156,6 +165,7 @@
     private fun logAttempt(exchange: Exchange, hop: Hop, outcome: AttemptOutcome): Unit = log.write(
         "attempt-ended",
         "request" to dialect.requestId(exchange.request.headers()),
+        "fingerprint" to fingerprintOf(exchange),
         "customer" to exchange.customer,
         "to" to hop.receiver,
         "address" to hop.address,
@@ -183,7 +193,14 @@
             }
             else -> Unit
         }
-        driver.submit(Event.AttemptEnded(exchange.id, outcome))
+        driver.submit(Event.AttemptEnded(exchange.id, outcome, exchange.bodyDigest))
+    }
+
+    /** What identifies the content of the request in the log, or null if too little of its body has been read. */
+    private fun fingerprintOf(exchange: Exchange): String? {
+        val body = exchange.bodyDigest ?: return null
+        val head = NettyRequestHead(exchange.request, dialect, readLag = Duration.ZERO)
+        return "${RequestDigests.of(head)}-$body"
     }
 
     private fun recordDuration(exchange: Exchange) {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
@@ -8,6 +8,7 @@
 import cicadagauge.gateway.CallerLimits
 import cicadagauge.gateway.MonotonicClock
 import cicadagauge.gateway.upstream.Attempt
+import cicadagauge.identity.BodyDigest
 import cicadagauge.identity.CustomerName
 import cicadagauge.identity.Moment
 import cicadagauge.identity.RequestId
@@ -24,6 +25,7 @@
     private val limits: CallerLimits,
 ) {
     private val replayContent = ArrayDeque<HttpContent>()
+    private val bodyHasher = BodyHasher()
     private var replayBytes = 0
     private var hasBeenAttempted = false
 
@@ -63,10 +65,14 @@
     var bodyBytes = 0L
         private set
 
+    /** The digest of the body, or null if too little of the body has been read. */
+    val bodyDigest: BodyDigest? get() = bodyHasher.digest(isBodyComplete)
+
     /** Adds a part of the request body; the exchange takes ownership of [content]. */
     fun add(content: HttpContent) {
         val size = content.content().readableBytes()
         bodyBytes += size
+        bodyHasher.add(content.content())
         if (content is LastHttpContent) isBodyComplete = true
         if (isReplayable && hasBeenAttempted && replayBytes + size > limits.replayBufferBytes) discardReplayContent()
         if (isReplayable) {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -43,6 +43,8 @@
             write("registration-unreadable", "upstream" to change.upstream, "problem" to change.problem)
         is StateChange.UpstreamReachable ->
             write("upstream-reachable", "upstream" to change.upstream, "reachable" to change.reachable)
+        is StateChange.UpstreamCrashed ->
+            write("upstream-crashed", "upstream" to change.upstream, "fingerprints" to change.requests.joinToString())
         is StateChange.Suspended -> write("suspended", "unseen" to change.unseen)
         is StateChange.StoreReachable -> write("store-reachable", "reachable" to change.reachable)
     }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
@@ -2,6 +2,7 @@
 
 import cicadagauge.declaration.RequestClass
 import cicadagauge.identity.CustomerName
+import cicadagauge.identity.PoolName
 import cicadagauge.node.StateChange
 import cicadagauge.outcome.Reason
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint
@@ -28,6 +29,8 @@
         .help("Requests refused").labelNames("reason", "verdict").register(registry)
     private val broken = Counter.builder().name("cicadagauge_broken_answers_total")
         .help("Answers that broke off after a part had gone to the caller").register(registry)
+    private val repeats = Counter.builder().name("cicadagauge_repeats_total")
+        .help("Attempts after one that has reached an upstream").labelNames("pool").register(registry)
     private val changes = Counter.builder().name("cicadagauge_state_changes_total")
         .help("Changes of state, by kind").labelNames("kind").register(registry)
 
@@ -46,6 +49,11 @@
         refusals.labelValues(reason.code, reason.verdict.code).inc()
     }
 
+    /** Counts an attempt of a request to [pool], an earlier attempt of which has reached an upstream. */
+    fun countRepeat(pool: PoolName) {
+        repeats.labelValues(pool.value).inc()
+    }
+
     /** Counts a response that was cut short after a part of it had been passed to the caller. */
     fun countTruncated() {
         broken.inc()
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
@@ -9,17 +9,22 @@
 import cicadagauge.gateway.caller.Exchange
 import cicadagauge.gateway.environment.Dialect
 import cicadagauge.identity.Address
+import cicadagauge.node.UpstreamState
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.timeout.IdleStateHandler
+import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 
 /** Sends requests to upstreams, on [loop]. */
@@ -46,6 +51,27 @@
         }
     }
 
+    /** Opens a connection to [address] and closes it; [onChecked] is called exactly once, with what it shows. */
+    fun check(address: Address, onChecked: (UpstreamState) -> Unit) {
+        bootstrap(ChannelInboundHandlerAdapter()).connect(address.host, address.port).addListener { result ->
+            (result as ChannelFuture).channel().close()
+            onChecked(stateShownBy(result.cause()))
+        }
+    }
+
+    private fun stateShownBy(failure: Throwable?): UpstreamState = when (failure) {
+        null -> UpstreamState.Accepting
+        is ConnectTimeoutException -> UpstreamState.Silent
+        is ConnectException -> UpstreamState.Refusing
+        else -> UpstreamState.Silent
+    }
+
+    private fun bootstrap(handler: ChannelHandler): Bootstrap =
+        Bootstrap().group(loop).channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout.inWholeMilliseconds.toInt())
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(handler)
+
     /** Closes every idle connection. */
     fun close(): Unit = pools.values.forEach { it.closeIdle() }
 
@@ -70,11 +96,7 @@
 
         fun connect(attempt: UpstreamAttempt) {
             open++
-            val bootstrap = Bootstrap().group(loop).channel(NioSocketChannel::class.java)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout.inWholeMilliseconds.toInt())
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(Initializer())
-            TcpKeepAlive.enable(bootstrap).connect(address.host, address.port).addListener { result ->
+            TcpKeepAlive.enable(bootstrap(Initializer())).connect(address.host, address.port).addListener { result ->
                 connected(result as ChannelFuture, attempt)
             }
         }
