--- /dev/null
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/DispatchRefusals.kt
@@ -0,0 +1,26 @@
+package cicadagauge.dispatch
+
+import cicadagauge.outcome.NotRunCause
+import cicadagauge.outcome.Reason
+import cicadagauge.outcome.Refusal
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The refusals of admitted requests that can't be dispatched any further. */
+internal object DispatchRefusals {
+    private val RETRY_AFTER = 100.milliseconds
+    private val OWNER_UNAVAILABLE =
+        Refusal(Reason.OwnerUnavailable, "no upstream could take the request in time", RETRY_AFTER)
+    private val UPSTREAM_BUSY = Refusal(Reason.Overloaded, "the upstream has no free place", RETRY_AFTER)
+
+    val UPSTREAM_NOT_DECLARED = Refusal(Reason.NoUpstream, "the upstream is not declared any more")
+    val DEADLINE_DURING_RUN = Refusal(Reason.DeadlineDuringRun, "the deadline came while the request may have run")
+    val DEADLINE_BEFORE_RUN =
+        Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free", RETRY_AFTER)
+    val CONNECTION_BROKEN = Refusal(Reason.UpstreamBroke, "the connection broke while the request may have run")
+
+    /** The refusal of a request whose last attempt did not run because of [cause]. */
+    fun of(cause: NotRunCause): Refusal = when (cause) {
+        NotRunCause.Busy -> UPSTREAM_BUSY
+        NotRunCause.Unreachable, NotRunCause.NotOwner, NotRunCause.Draining -> OWNER_UNAVAILABLE
+    }
+}
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -34,7 +34,6 @@
 import cicadagauge.quarantine.RequestDigests
 import cicadagauge.routing.OwnerDirectory
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** Dispatches the requests that this VM has accepted, and schedules those whose home it is. */
 internal class Dispatcher(
@@ -51,7 +50,7 @@
     private val upstreams = HashMap<UpstreamId, Upstream>()
     private val pools = HashMap<PoolName, Pool>()
     private val retryBudget = RetryBudget(settings)
-    private val permitsLastGranted = HashMap<PermitSource, Moment>()
+    private val permitReporter = PermitReporter(vms, settings)
     private val homeMonitor = HomeMonitor(vms, settings)
     private val crashDetector = CrashDetector(effects)
 
@@ -66,7 +65,7 @@
      * Reports to the home VMs which of their permits are in use, now and every [DispatchSettings.permitReportInterval].
      */
     fun start(now: Moment) {
-        reportPermitsInUse(now)
+        permitReporter.report(requests.values, now)
         timers.at(now + settings.permitReportInterval, ::start)
     }
 
@@ -251,7 +250,7 @@
     }
 
     private fun relay(request: PendingRequest, home: Vm, now: Moment) {
-        if (now >= request.deadline) return refuse(request, DEADLINE_BEFORE_RUN, now)
+        if (now >= request.deadline) return refuse(request, DispatchRefusals.DEADLINE_BEFORE_RUN, now)
         waiting -= request
         request.attempts++
         request.state = PendingRequest.State.Relayed(home.id)
@@ -285,12 +284,12 @@
         val target = upstreams[upstream]
         if (target == null || now >= request.deadline) {
             releaseUnused(request, home, now)
-            return backOff(request, UPSTREAM_NOT_DECLARED, now)
+            return backOff(request, DispatchRefusals.UPSTREAM_NOT_DECLARED, now)
         }
         waiting -= request
         request.attempts++
         request.state = PendingRequest.State.Running(home, upstream, now)
-        if (home != vms.self) permitsLastGranted[PermitSource(home, request.pool.name)] = now
+        permitReporter.recordGrant(home, request.pool.name, now)
         val version = request.slot?.let { owners[request.pool.name]?.record?.version }
         effects.add(
             Effect.Forward(
@@ -309,7 +308,7 @@
     }
 
     private fun notRun(request: PendingRequest, outcome: AttemptOutcome.NotRun, now: Moment) {
-        val refusal = refusalOf(outcome.cause)
+        val refusal = DispatchRefusals.of(outcome.cause)
         val reachedUpstream = outcome.cause != NotRunCause.Unreachable
         if (reachedUpstream) request.hasReachedUpstream = true
         val mayRepeat = outcome.replayable && (!reachedUpstream || retryBudget.tryTake())
@@ -318,13 +317,13 @@
 
     private fun lost(request: PendingRequest, outcome: AttemptOutcome.Lost, now: Moment) {
         val timedOut = outcome.timedOut || now >= request.deadline
-        if (timedOut) return refuse(request, DEADLINE_DURING_RUN, now)
+        if (timedOut) return refuse(request, DispatchRefusals.DEADLINE_DURING_RUN, now)
         request.runs++
         request.hasReachedUpstream = true
         if (request.idempotent && request.runs < request.maxRuns && retryBudget.tryTake()) {
-            return backOff(request, CONNECTION_BROKEN, now)
+            return backOff(request, DispatchRefusals.CONNECTION_BROKEN, now)
         }
-        refuse(request, CONNECTION_BROKEN, now)
+        refuse(request, DispatchRefusals.CONNECTION_BROKEN, now)
     }
 
     /**
@@ -351,7 +350,11 @@
 
     /** Never reports a request as not run if an earlier attempt may have run, however the last one ended. */
     private fun withCorrectVerdict(request: PendingRequest, refusal: Refusal): Refusal =
-        if (request.runs > 0 && refusal.reason.verdict == Verdict.NotRun) CONNECTION_BROKEN else refusal
+        if (request.runs == 0 || refusal.reason.verdict != Verdict.NotRun) {
+            refusal
+        } else {
+            DispatchRefusals.CONNECTION_BROKEN
+        }
 
     /** Cancels the reservation of [request] if it is still unanswered. */
     private fun withdraw(request: PendingRequest, now: Moment) {
@@ -367,21 +370,6 @@
         if (home == vms.self || vm == null) schedulers.release(vms.self, message, now) else vms.send(vm, message)
     }
 
-    /**
-     * Tells each home VM which of its permits are in use. Otherwise, a permit whose release message was lost would stay
-     * taken until it expires, which is after the request's deadline.
-     */
-    private fun reportPermitsInUse(now: Moment) {
-        permitsLastGranted.values.removeIf { it + settings.homeTrackingTime < now }
-        if (permitsLastGranted.isEmpty()) return
-        val running = requests.values.filter { it.state is PendingRequest.State.Running }
-            .groupBy { PermitSource((it.state as PendingRequest.State.Running).home, it.pool.name) }
-        for (source in permitsLastGranted.keys) {
-            val ids = running[source].orEmpty().map { it.id }.toSet()
-            vms.vm(source.home)?.let { vms.send(it, PeerMessage.Holding(source.pool, ids)) }
-        }
-    }
-
     /** Schedules the next check for overdue requests, unless one is scheduled already. */
     fun scheduleSweep(now: Moment) {
         if (isSweepScheduled) return
@@ -403,7 +391,7 @@
     }
 
     private fun checkReservation(request: PendingRequest, state: PendingRequest.State.Reserving, now: Moment) {
-        if (now >= request.deadline) return refuse(request, DEADLINE_BEFORE_RUN, now)
+        if (now >= request.deadline) return refuse(request, DispatchRefusals.DEADLINE_BEFORE_RUN, now)
         if (state.home == vms.self || now < state.answerDue) return
         val isSilent = vms.lastHeard(state.home) < now - settings.homeAnswerTimeout
         if (isSilent) vms.suspect(state.home, now + settings.homeSuspicion)
@@ -421,23 +409,7 @@
         }
     }
 
-    private fun refusalOf(cause: NotRunCause): Refusal = when (cause) {
-        NotRunCause.Busy -> UPSTREAM_BUSY
-        NotRunCause.Unreachable, NotRunCause.NotOwner, NotRunCause.Draining -> OWNER_UNAVAILABLE
-    }
-
-    private data class PermitSource(val home: VmId, val pool: PoolName)
-
     private companion object {
         const val MAX_DOUBLINGS = 4
-        val RETRY_AFTER = 100.milliseconds
-        val UPSTREAM_NOT_DECLARED = Refusal(Reason.NoUpstream, "the upstream is not declared any more")
-        val OWNER_UNAVAILABLE =
-            Refusal(Reason.OwnerUnavailable, "no upstream could take the request in time", RETRY_AFTER)
-        val UPSTREAM_BUSY = Refusal(Reason.Overloaded, "the upstream has no free place", RETRY_AFTER)
-        val DEADLINE_DURING_RUN = Refusal(Reason.DeadlineDuringRun, "the deadline came while the request may have run")
-        val DEADLINE_BEFORE_RUN =
-            Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free", RETRY_AFTER)
-        val CONNECTION_BROKEN = Refusal(Reason.UpstreamBroke, "the connection broke while the request may have run")
     }
 }
