UpstreamContractTest: count requests, not connections

The stand-in of the test counted a connection that was closed without a byte as a request. The gateway sent the POST once. Now a request counts once its first line was read; every request that the gateway sends is still counted, so the check is as strict.

--- a/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/upstream/UpstreamContractTest.kt
+++ b/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/upstream/UpstreamContractTest.kt
@@ -50,6 +50,8 @@
 
     private fun serve(socket: Socket) = socket.use {
         val reader = it.getInputStream().bufferedReader(Charsets.ISO_8859_1)
+        // A connection that is closed without a request only checks that the upstream accepts connections.
+        if (reader.readLine() == null) return@use
         while (reader.readLine()?.isNotEmpty() == true) Unit
         val bytes = answer(requests.incrementAndGet())
         if (bytes == null) reader.read() else it.getOutputStream().write(bytes.toByteArray(Charsets.ISO_8859_1))
