Remember on all VMs which requests crash upstreams, and don't run them again

Cause: the outcome of an attempt was kept with the attempt's request id only. The damage depends on the content of the request, which comes again under another id, at another VM. Class of fault: a limit that is kept per attempt and per VM where the thing to be limited is spread over attempts and VMs.

Change: RequestQuarantine counts, for each content (customer, method, path, query, body), the upstreams that it has crashed in succession, and every VM learns of it at once from the VM that saw it, and by anti-entropy after that. An upstream counts as crashed if it refuses a connection right after one with that request on it broke (CrashDetector); a closed connection alone, silence, or more than two crashes a second do not count. After two crashes the request is refused with 503 `quarantined`, not run, for 10 minutes. An attempt that began before a crash was known counts together with that crash, so requests that ran beside it are not blamed twice; any answer clears the content everywhere. Bodies are waited for only where method, path, query and customer match a known one.

Why it works: what is shared is a count that only rises within a generation, so messages may be lost, repeated and reordered.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Effect.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Effect.kt
@@ -64,6 +64,9 @@
     /** Opens a connection to [upstream] and closes it; exactly one [Event.UpstreamChecked] follows. */
     public data class CheckUpstream(val upstream: UpstreamId, val address: Address) : Effect
 
+    /** Asks for the body of a request; one [Event.BodyRead] follows, unless the caller disconnects before. */
+    public data class AwaitBody(val id: RequestId) : Effect
+
     /** Answers a request with [refusal]; no further attempt is made. */
     public data class Refuse(val id: RequestId, val refusal: Refusal) : Effect
 
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
@@ -37,6 +37,9 @@
      */
     public data class AttemptEnded(val id: RequestId, val outcome: AttemptOutcome, val body: BodyDigest? = null) : Event
 
+    /** Enough of the body that was asked for by [Effect.AwaitBody] has been read. */
+    public data class BodyRead(val id: RequestId, val body: BodyDigest) : Event
+
     /** The outcome of the check that was started by [Effect.CheckUpstream]. */
     public data class UpstreamChecked(val upstream: UpstreamId, val state: UpstreamState) : Event
 
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -7,6 +7,8 @@
 import cicadagauge.identity.RequestFingerprint
 import cicadagauge.identity.Term
 import cicadagauge.identity.UpstreamId
+import cicadagauge.identity.VmId
+import cicadagauge.peer.CrashRecord
 import kotlin.time.Duration
 
 /** A change of a node's state; each is logged as one line. */
@@ -41,6 +43,17 @@
     /** The process of [upstream] ended while it was running [requests] of this VM, among others. */
     public data class UpstreamCrashed(val upstream: UpstreamId, val requests: Set<RequestFingerprint>) : StateChange
 
+    /**
+     * Requests with [fingerprint] must not run any more, since [record] says that they crash upstreams; or they may run
+     * again, since an upstream has answered one. This VM was told by [source], or found out itself if that is null.
+     */
+    public data class RequestQuarantined(
+        val fingerprint: RequestFingerprint,
+        val isQuarantined: Boolean,
+        val record: CrashRecord,
+        val source: VmId?,
+    ) : StateChange
+
     /** The wall clock has advanced by [unseen] more than the monotonic clock; negative if it was set back. */
     public data class Suspended(val unseen: Duration) : StateChange
 
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -43,15 +43,25 @@
     @SerialName("RecordUpdate")
     public data class RecordUpdate(val record: OwnershipRecord) : PeerMessage
 
-    /** Lists the versions that the sender has, so that the receiver can send what is newer. */
+    /**
+     * Lists the versions that the sender has, so that the receiver can send what is newer.
+     *
+     * @property quarantine digest of the sender's [CrashSuspicion]s; zero if it has none.
+     */
     @Serializable
     @SerialName("Digest")
     public data class Digest(
         val declaration: DeclarationVersion,
         val records: List<RecordDigest>,
         val prefixes: List<PrefixDigest> = emptyList(),
+        val quarantine: Long = 0,
     ) : PeerMessage
 
+    /** Passes on which requests may have crashed upstreams. */
+    @Serializable
+    @SerialName("QuarantineUpdate")
+    public data class QuarantineUpdate(val suspicions: List<CrashSuspicion>) : PeerMessage
+
     /**
      * Passes on the store's entries under [prefix], as of revision [upTo].
      *
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -194,6 +194,9 @@
     /** The head of the request with [id], which a caller sent or a VM relayed; null once it is answered. */
     fun headOf(id: RequestId): RequestHead? = openRequests[id]?.head
 
+    /** The digest of the body of the request with [id]; null once it is answered. */
+    fun bodyOf(id: RequestId): BodyDigest? = openRequests[id]?.body
+
     private fun newClock() = VirtualClock(
         time = time,
         offset = 1 + random.nextInt(MAX_CLOCK_OFFSET_100_NANOS).toLong() * 100,
@@ -215,6 +218,7 @@
             is Effect.SendRangeOrder -> vm.submit(Event.RangeOrderEnded(effect.id, RangeOrderOutcome.Rejected))
             is Effect.Forward -> forward(vm, effect)
             is Effect.Relay -> relay(vm, effect)
+            is Effect.AwaitBody -> awaitBody(vm, effect)
             is Effect.CheckUpstream -> check(vm, effect)
             is Effect.Refuse -> openRequests.remove(effect.id)?.onResult(RequestResult.Refused(effect.refusal))
             is Effect.StateChanged -> observer.onStateChange(this, vm, effect.change)
@@ -265,6 +269,11 @@
         upstream.onCrash { complete(AttemptOutcome.Lost(timedOut = false)) }
     }
 
+    private fun awaitBody(vm: VirtualVm, effect: Effect.AwaitBody) {
+        val body = openRequests[effect.id]?.body ?: return
+        time.after(Duration.ZERO) { vm.submit(Event.BodyRead(effect.id, body)) }
+    }
+
     private fun check(vm: VirtualVm, effect: Effect.CheckUpstream) {
         val upstream = upstreams.getValue(effect.upstream)
         val state = if (upstream.crashed) UpstreamState.Refusing else UpstreamState.Accepting
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -3,12 +3,15 @@
 import arrow.core.right
 import cicadagauge.declaration.RequestClass
 import cicadagauge.identity.AvailabilityZone
+import cicadagauge.identity.BodyDigest
 import cicadagauge.identity.CustomerName
 import cicadagauge.identity.DeclarationVersion
+import cicadagauge.identity.HeadDigest
 import cicadagauge.identity.Incarnation
 import cicadagauge.identity.Moment
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.RecordVersion
+import cicadagauge.identity.RequestFingerprint
 import cicadagauge.identity.RequestId
 import cicadagauge.identity.Slot
 import cicadagauge.identity.Term
@@ -27,6 +30,8 @@
 import cicadagauge.ownership.SlotException
 import cicadagauge.ownership.SlotSet
 import cicadagauge.ownership.UpstreamTime
+import cicadagauge.peer.CrashRecord
+import cicadagauge.peer.CrashSuspicion
 import cicadagauge.peer.PeerMessage
 import cicadagauge.peer.PermitResult
 import cicadagauge.peer.RecordDigest
@@ -85,6 +90,15 @@
                 PeerMessage.Release(pool, RequestId(9), PermitResult.Served, 7.milliseconds),
                 PeerMessage.Heat(pool, listOf(HeatBucket(3, 5)), listOf(UpstreamTime(UpstreamId("u"), 0.06.seconds))),
                 PeerMessage.Holding(pool, setOf(RequestId(9))),
+                PeerMessage.QuarantineUpdate(
+                    listOf(
+                        CrashSuspicion(
+                            RequestFingerprint(CustomerName("t"), HeadDigest(-5), BodyDigest(7)),
+                            CrashRecord(generation = 1, crashes = 2),
+                            remaining = 9.seconds,
+                        ),
+                    ),
+                ),
                 PeerMessage.Ping,
                 PeerMessage.Pong,
                 PeerMessage.Leaving,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/DispatchRefusals.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/DispatchRefusals.kt
@@ -3,6 +3,7 @@
 import cicadagauge.outcome.NotRunCause
 import cicadagauge.outcome.Reason
 import cicadagauge.outcome.Refusal
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The refusals of admitted requests that can't be dispatched any further. */
@@ -18,6 +19,10 @@
         Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free", RETRY_AFTER)
     val CONNECTION_BROKEN = Refusal(Reason.UpstreamBroke, "the connection broke while the request may have run")
 
+    /** The refusal of a request that must not run for the next [remaining]. */
+    fun quarantined(remaining: Duration) =
+        Refusal(Reason.Quarantined, "upstreams have crashed while they ran this request", remaining)
+
     /** The refusal of a request whose last attempt did not run because of [cause]. */
     fun of(cause: NotRunCause): Refusal = when (cause) {
         NotRunCause.Busy -> UPSTREAM_BUSY
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -22,7 +22,6 @@
 import cicadagauge.node.RelayedRequest
 import cicadagauge.node.RequestHead
 import cicadagauge.node.Timers
-import cicadagauge.node.UpstreamState
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
 import cicadagauge.outcome.Reason
@@ -32,6 +31,7 @@
 import cicadagauge.peer.PermitResult
 import cicadagauge.quarantine.CrashDetector
 import cicadagauge.quarantine.RequestDigests
+import cicadagauge.quarantine.RequestQuarantine
 import cicadagauge.routing.OwnerDirectory
 import kotlin.time.Duration
 
@@ -40,6 +40,8 @@
     private val vms: VmDirectory,
     private val owners: OwnerDirectory,
     private val settings: DispatchSettings,
+    private val quarantine: RequestQuarantine,
+    private val crashDetector: CrashDetector,
     private val timers: Timers,
     private val effects: Effects,
     coldUntil: (UpstreamId) -> Moment,
@@ -52,7 +54,6 @@
     private val retryBudget = RetryBudget(settings)
     private val permitReporter = PermitReporter(vms, settings)
     private val homeMonitor = HomeMonitor(vms, settings)
-    private val crashDetector = CrashDetector(effects)
 
     /** Determines the home VM of each request. */
     val homeDirectory: HomeDirectory = HomeDirectory(vms, owners, settings)
@@ -92,6 +93,17 @@
     fun accept(request: PendingRequest, now: Moment) {
         retryBudget.recordRequest()
         requests[request.id] = request
+        if (!quarantine.needsBody(request.customer, request.head)) return reserve(request, now)
+        request.state = PendingRequest.State.AwaitingBody
+        waiting += request
+        scheduleSweep(now)
+        effects.add(Effect.AwaitBody(request.id))
+    }
+
+    /** Continues request [id], whose body was awaited and has the digest [body]. */
+    fun bodyRead(id: RequestId, body: BodyDigest, now: Moment) {
+        val request = requests[id]?.takeIf { it.state == PendingRequest.State.AwaitingBody } ?: return
+        request.body = body
         reserve(request, now)
     }
 
@@ -128,11 +140,6 @@
         }
     }
 
-    /** Handles the outcome of the check of [upstream] that followed a broken connection. */
-    fun upstreamChecked(upstream: UpstreamId, state: UpstreamState) {
-        crashDetector.checked(upstream, state)
-    }
-
     private fun relayedAttemptEnded(
         request: PendingRequest,
         state: PendingRequest.State.Relayed,
@@ -169,18 +176,24 @@
         val message = PeerMessage.Release(request.pool.name, request.id, resultOf(outcome), now - state.since, slowness)
         release(state.home, message, now)
         when (outcome) {
-            is AttemptOutcome.Answered, AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
+            is AttemptOutcome.Answered -> {
+                request.fingerprint?.let { quarantine.answered(it, now) }
+                requests -= request.id
+            }
+            AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
             is AttemptOutcome.Refused -> refuse(request, outcome.refusal, now)
             is AttemptOutcome.NotRun -> notRun(request, outcome, now)
             is AttemptOutcome.Lost -> {
-                if (!outcome.timedOut) {
-                    upstreams[state.upstream]?.let { crashDetector.connectionBroke(it, request.fingerprint) }
-                }
+                if (!outcome.timedOut) connectionBroke(request, state.upstream)
                 lost(request, outcome, now)
             }
         }
     }
 
+    private fun connectionBroke(request: PendingRequest, upstream: UpstreamId) {
+        upstreams[upstream]?.let { crashDetector.connectionBroke(it, request.fingerprint, request.crashRecord) }
+    }
+
     /** Drops request [id], whose caller disconnected while it was waiting. */
     fun callerLeft(id: RequestId, now: Moment) {
         val request = requests.remove(id) ?: return
@@ -224,6 +237,8 @@
     }
 
     private fun reserve(request: PendingRequest, now: Moment) {
+        val quarantined = quarantine.quarantineOf(request.fingerprint, now)
+        if (quarantined != null) return refuse(request, DispatchRefusals.quarantined(quarantined), now)
         val home = homeDirectory.homeOf(request)
         val homeVm = vms.vm(home)
         if (settings.homes == HomePolicy.Relay && home != vms.self && homeVm != null) {
@@ -289,6 +304,7 @@
         waiting -= request
         request.attempts++
         request.state = PendingRequest.State.Running(home, upstream, now)
+        request.crashRecord = quarantine.recordOf(request.fingerprint, now)
         permitReporter.recordGrant(home, request.pool.name, now)
         val version = request.slot?.let { owners[request.pool.name]?.record?.version }
         effects.add(
@@ -383,6 +399,8 @@
         for (request in waiting.toList()) {
             when (val state = request.state) {
                 is PendingRequest.State.Reserving -> checkReservation(request, state, now)
+                is PendingRequest.State.AwaitingBody ->
+                    if (now >= request.deadline) refuse(request, DispatchRefusals.DEADLINE_BEFORE_RUN, now)
                 is PendingRequest.State.BackingOff -> if (now >= state.until) reserve(request, now)
                 else -> Unit
             }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
@@ -12,6 +12,7 @@
 import cicadagauge.identity.Slot
 import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
+import cicadagauge.peer.CrashRecord
 
 /**
  * A request that a VM has accepted and not yet answered.
@@ -47,6 +48,9 @@
     /** Whether an attempt has reached an upstream, which may have rejected it. */
     var hasReachedUpstream = false
 
+    /** What was known of the request's [fingerprint] when it was last sent to an upstream. */
+    var crashRecord = CrashRecord.NONE
+
     /** The digest of the body, or null if too little of the body is known. */
     var body: BodyDigest? = null
 
@@ -58,6 +62,9 @@
         /** Between two steps; not kept beyond the handling of one event. */
         data object Idle : State
 
+        /** Waits for its body, without which it is not known whether the request is in quarantine. */
+        data object AwaitingBody : State
+
         /** Waits for [home] to grant a permit; without an answer by [answerDue] the reservation is sent again. */
         class Reserving(val home: VmId, val answerDue: Moment) : State
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
@@ -2,7 +2,8 @@
  * Disseminates declarations and ownership records to all VMs. Updates travel along the edges of a tree over the sorted
  * VMs, in both directions, so that each VM sends a bounded number of messages wherever an update originates. Lost
  * updates are repaired by anti-entropy: each VM compares versions with one other VM at a time, in turn. The same
- * comparison passes registered upstreams and zones out of service to VMs that can't read them from the store.
+ * comparison passes on registered upstreams and zones out of service, for VMs that can't read them from the store, and
+ * which requests crash upstreams.
  */
 package cicadagauge.dissemination
 
@@ -14,9 +15,11 @@
 import cicadagauge.node.DisseminationSettings
 import cicadagauge.node.Timers
 import cicadagauge.ownership.OwnershipRecord
+import cicadagauge.peer.CrashSuspicion
 import cicadagauge.peer.PeerMessage
 import cicadagauge.peer.PrefixDigest
 import cicadagauge.peer.RecordDigest
+import cicadagauge.quarantine.RequestQuarantine
 import cicadagauge.routing.OwnerDirectory
 import cicadagauge.store.SharedEntries
 
@@ -26,6 +29,7 @@
     private val declarations: DeclarationHolder,
     private val owners: OwnerDirectory,
     private val sharedEntries: List<SharedEntries>,
+    private val quarantine: RequestQuarantine,
     private val settings: DisseminationSettings,
     private val timers: Timers,
 ) {
@@ -33,7 +37,7 @@
 
     /** Starts the periodic anti-entropy exchange. */
     fun start(now: Moment) {
-        nextAntiEntropyPeer()?.let { vms.send(it, digest()) }
+        nextAntiEntropyPeer()?.let { vms.send(it, digest(now)) }
         timers.at(now + settings.antiEntropyInterval, ::start)
     }
 
@@ -48,8 +52,18 @@
         neighbours().filter { it.id != source }.forEach { vms.send(it, PeerMessage.RecordUpdate(record)) }
     }
 
+    /**
+     * Sends [suspicion] to the neighbours in the tree, except [source], from which it came. The VM that it comes from
+     * sends it to every VM of a small fleet, since a lost one in the tree would delay it until the next comparison.
+     */
+    fun propagateSuspicion(suspicion: CrashSuspicion, source: VmId?) {
+        val receivers = if (source == null && vms.peers.size <= settings.fanOut) vms.peers else neighbours()
+        val update = PeerMessage.QuarantineUpdate(listOf(suspicion))
+        receivers.filter { it.id != source && it.id != vms.self }.forEach { vms.send(it, update) }
+    }
+
     /** Answers a digest: sends [from] what it lacks, and this VM's digest where [from] has anything newer. */
-    fun handleDigest(from: VmId, digest: PeerMessage.Digest) {
+    fun handleDigest(from: VmId, digest: PeerMessage.Digest, now: Moment) {
         val vm = vms.vm(from) ?: return
         if (digest.declaration < declarations.version) declarations.updateMessage()?.let { vms.send(vm, it) }
         val remote = digest.records.associateBy { it.pool }
@@ -57,9 +71,12 @@
         owners.records()
             .filter { isNewer(local.getValue(it.pool), remote[it.pool]) }
             .forEach { vms.send(vm, PeerMessage.RecordUpdate(it)) }
+        if (digest.quarantine != quarantine.digest(now)) {
+            vms.send(vm, PeerMessage.QuarantineUpdate(quarantine.suspicions(now)))
+        }
         val lacksEntries = compareEntries(vm, digest.prefixes)
         val lacksRecords = remote.values.any { isNewer(it, local[it.pool]) }
-        if (lacksEntries || lacksRecords || digest.declaration > declarations.version) vms.send(vm, digest())
+        if (lacksEntries || lacksRecords || digest.declaration > declarations.version) vms.send(vm, digest(now))
     }
 
     /** Sends [vm] the store entries that it lacks, and returns whether this VM lacks any itself. */
@@ -71,7 +88,12 @@
         return sharedEntries.any { entries -> remote[entries.prefix]?.let { it > entries.latest } ?: false }
     }
 
-    private fun digest() = PeerMessage.Digest(declarations.version, owners.digest(), sharedEntries.map { it.digest })
+    private fun digest(now: Moment) = PeerMessage.Digest(
+        declaration = declarations.version,
+        records = owners.digest(),
+        prefixes = sharedEntries.map { it.digest },
+        quarantine = quarantine.digest(now),
+    )
 
     private fun isNewer(one: RecordDigest, other: RecordDigest?): Boolean =
         other == null || one.term > other.term || (one.term == other.term && one.version > other.version)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -23,6 +23,8 @@
 import cicadagauge.ownership.ProcessLease
 import cicadagauge.ownership.RangeOrders
 import cicadagauge.peer.PeerMessage
+import cicadagauge.quarantine.CrashDetector
+import cicadagauge.quarantine.RequestQuarantine
 import cicadagauge.routing.OwnerDirectory
 import cicadagauge.store.NodeCodecs
 import cicadagauge.store.SharedEntries
@@ -44,13 +46,27 @@
     private val recordWatchers = Watchers(vms, settings.dissemination.recordWatchersPerZone)
     private val owners = OwnerDirectory()
     private val inventory = Inventory(store, timers, settings.dissemination.registrationGrace, ::applyInventory)
-    private val dispatcher = Dispatcher(vms, owners, settings.dispatch, timers, effects, inventory::coldUntil)
+    private val quarantine = RequestQuarantine(settings.quarantine, effects) { suspicion, source ->
+        disseminator.propagateSuspicion(suspicion, source)
+    }
+    private val crashDetector = CrashDetector(settings.quarantine, quarantine, effects)
+    private val dispatcher = Dispatcher(
+        vms = vms,
+        owners = owners,
+        settings = settings.dispatch,
+        quarantine = quarantine,
+        crashDetector = crashDetector,
+        timers = timers,
+        effects = effects,
+        coldUntil = inventory::coldUntil,
+    )
     private val seats = SeatHolder(vms, store, timers, settings.budgets, start) { budgets.divideRates(it) }
     private val budgets: CustomerBudgets = CustomerBudgets(vms, seats, settings.budgets, timers, start)
     private val admission = RequestAdmission(owners, budgets, dispatcher, effects)
     private val declarations = DeclarationHolder(codecs.declarations, effects, ::configure)
     private val sharedEntries = listOf(StoreKeys.UPSTREAMS, StoreKeys.ZONES_OUT).map(::SharedEntries)
-    private val disseminator = Disseminator(vms, declarations, owners, sharedEntries, settings.dissemination, timers)
+    private val disseminator: Disseminator =
+        Disseminator(vms, declarations, owners, sharedEntries, quarantine, settings.dissemination, timers)
     private val lease = ProcessLease(store, timers, settings.ownership)
     private val orders = RangeOrders(effects)
     private val registration = settings.registration?.let { vm ->
@@ -107,7 +123,8 @@
             is Event.RequestArrived -> admission.arrived(event.id, event.head, now)
             is Event.RelayArrived -> dispatcher.acceptRelayed(event.id, event.request, event.head, event.timeLeft, now)
             is Event.AttemptEnded -> dispatcher.attemptEnded(event.id, event.outcome, now, event.body)
-            is Event.UpstreamChecked -> dispatcher.upstreamChecked(event.upstream, event.state)
+            is Event.BodyRead -> dispatcher.bodyRead(event.id, event.body, now)
+            is Event.UpstreamChecked -> crashDetector.checked(event.upstream, event.state, now)
             is Event.CallerDisconnected -> dispatcher.callerLeft(event.id, now)
             is Event.PeerMessageReceived -> handlePeerMessage(event.from, event.message, now)
             is Event.GrantReported -> duties.grantReported(event.report, now)
@@ -179,7 +196,8 @@
             is PeerMessage.BudgetReply -> budgets.handleReply(from, message, now)
             is PeerMessage.RecordUpdate -> adoptRecord(message.record, from, now)
             is PeerMessage.DeclarationUpdate -> adoptDeclaration(message.text, from, now)
-            is PeerMessage.Digest -> disseminator.handleDigest(from, message)
+            is PeerMessage.Digest -> disseminator.handleDigest(from, message, now)
+            is PeerMessage.QuarantineUpdate -> quarantine.adopt(message.suspicions, from, now)
             is PeerMessage.EntriesUpdate -> storeWatchers.forEach { it.adopt(message, now) }
             PeerMessage.Ping -> vms.vm(from)?.let { vms.send(it, PeerMessage.Pong) }
             PeerMessage.Pong -> Unit
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -5,6 +5,7 @@
 import cicadagauge.membership.Vm
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -16,6 +17,7 @@
  * @property budgets Times and limits of the customers' budgets.
  * @property dispatch Limits of scheduling, queueing and retries.
  * @property dissemination Times and fan-out of the exchange of declarations and records between VMs.
+ * @property quarantine Limits for requests that crash upstreams.
  * @property listedBeforeReady How long this VM must have been on the list of VMs before it reports itself ready.
  * @property registration The VM as which the node registers itself in the store; null where the platform lists VMs.
  */
@@ -26,6 +28,7 @@
     val budgets: BudgetSettings = BudgetSettings(),
     val dispatch: DispatchSettings = DispatchSettings(),
     val dissemination: DisseminationSettings = DisseminationSettings(),
+    val quarantine: QuarantineSettings = QuarantineSettings(),
     val listedBeforeReady: Duration = 1.seconds,
     val registration: Vm? = null,
 )
@@ -213,6 +216,21 @@
     val maxBackoff: Duration = 160.milliseconds,
 )
 
+/**
+ * Limits for requests that crash the upstreams that run them.
+ *
+ * @property maxCrashes After how many crashes in succession a request is no longer run.
+ * @property retention How long a crash is remembered, and thus how long a request is refused after the last one.
+ * @property maxRecords Most requests that are remembered; the oldest are forgotten first.
+ * @property maxCrashesPerSecond Most upstreams per second whose crash this VM ascribes to a request.
+ */
+public data class QuarantineSettings(
+    val maxCrashes: Int = 2,
+    val retention: Duration = 10.minutes,
+    val maxRecords: Int = 1_000,
+    val maxCrashesPerSecond: Int = 2,
+)
+
 /**
  * Times and fan-out of the exchange of declarations and records between VMs, and of the store watches behind it.
  *
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
@@ -1,38 +1,60 @@
 package cicadagauge.quarantine
 
 import cicadagauge.declaration.Upstream
+import cicadagauge.identity.Moment
 import cicadagauge.identity.RequestFingerprint
 import cicadagauge.identity.UpstreamId
 import cicadagauge.node.Effect
 import cicadagauge.node.Effects
+import cicadagauge.node.QuarantineSettings
 import cicadagauge.node.StateChange
 import cicadagauge.node.UpstreamState
+import cicadagauge.peer.CrashRecord
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Distinguishes upstreams that have crashed from those that closed a connection: after a connection broke, a new one is
  * opened. An upstream that refuses it counts as crashed by one of the requests that were running there.
  */
-internal class CrashDetector(private val effects: Effects) {
-    private val checks = HashMap<UpstreamId, MutableSet<RequestFingerprint>>()
+internal class CrashDetector(
+    private val settings: QuarantineSettings,
+    private val quarantine: RequestQuarantine,
+    private val effects: Effects,
+) {
+    private val checks = HashMap<UpstreamId, MutableMap<RequestFingerprint, CrashRecord>>()
+    private val lastCrashes = ArrayDeque<Moment>()
 
-    /** Checks [upstream], whose connection broke while it ran a request with [fingerprint], if that is known. */
-    fun connectionBroke(upstream: Upstream, fingerprint: RequestFingerprint?) {
+    /**
+     * Checks [upstream], whose connection broke while it ran a request with [fingerprint], if that is known. [before]
+     * is the record of that fingerprint when the request was sent.
+     */
+    fun connectionBroke(upstream: Upstream, fingerprint: RequestFingerprint?, before: CrashRecord) {
         val running = checks.getOrPut(upstream.id) {
             effects.add(Effect.CheckUpstream(upstream.id, upstream.address))
-            LinkedHashSet()
+            LinkedHashMap()
         }
-        if (fingerprint != null && running.size < MAX_REQUESTS_PER_CRASH) running += fingerprint
+        if (fingerprint != null && running.size < MAX_REQUESTS_PER_CRASH) running.putIfAbsent(fingerprint, before)
     }
 
-    /** Returns the requests that may have crashed [upstream], none if it is not [UpstreamState.Refusing]. */
-    fun checked(upstream: UpstreamId, state: UpstreamState): Set<RequestFingerprint> {
+    /** Handles the outcome of the check of [upstream]. */
+    fun checked(upstream: UpstreamId, state: UpstreamState, now: Moment) {
         val running = checks.remove(upstream).orEmpty()
-        if (state != UpstreamState.Refusing) return emptySet()
-        effects.add(Effect.StateChanged(StateChange.UpstreamCrashed(upstream, running)))
-        return running
+        if (state != UpstreamState.Refusing) return
+        effects.add(Effect.StateChanged(StateChange.UpstreamCrashed(upstream, running.keys)))
+        if (isOneOfMany(now)) return
+        running.forEach { (fingerprint, before) -> quarantine.crashed(fingerprint, before, now) }
+    }
+
+    /** Whether so many upstreams crash that a request is not the likely cause, as when an availability zone is lost. */
+    private fun isOneOfMany(now: Moment): Boolean {
+        while (lastCrashes.isNotEmpty() && lastCrashes.first() + CRASH_WINDOW <= now) lastCrashes.removeFirst()
+        lastCrashes.addLast(now)
+        return lastCrashes.size > settings.maxCrashesPerSecond
     }
 
     private companion object {
         const val MAX_REQUESTS_PER_CRASH = 64
+        val CRASH_WINDOW: Duration = 1.seconds
     }
 }
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
@@ -19,11 +19,14 @@
 import cicadagauge.node.Effect
 import cicadagauge.node.Effects
 import cicadagauge.node.HomePolicy
+import cicadagauge.node.QuarantineSettings
 import cicadagauge.node.Timers
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
 import cicadagauge.outcome.Refusal
 import cicadagauge.outcome.Verdict
+import cicadagauge.quarantine.CrashDetector
+import cicadagauge.quarantine.RequestQuarantine
 import cicadagauge.routing.OwnerDirectory
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
@@ -41,7 +44,18 @@
         keyed = false,
     )
     private val settings = DispatchSettings(homes = HomePolicy.Local)
-    private val dispatcher = Dispatcher(vms, OwnerDirectory(), settings, timers, effects) { Moment.PAST }
+    private val quarantineSettings = QuarantineSettings()
+    private val quarantine = RequestQuarantine(quarantineSettings, effects) { _, _ -> }
+    private val dispatcher = Dispatcher(
+        vms = vms,
+        owners = OwnerDirectory(),
+        settings = settings,
+        quarantine = quarantine,
+        crashDetector = CrashDetector(quarantineSettings, quarantine, effects),
+        timers = timers,
+        effects = effects,
+        coldUntil = { Moment.PAST },
+    )
     private var now = Moment.ZERO
     private var refusal: Refusal? = null
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -159,6 +159,7 @@
         when (effect) {
             is Effect.Forward -> registry.forward(effect)
             is Effect.Relay -> registry.relay(effect)
+            is Effect.AwaitBody -> registry.awaitBody(effect)
             is Effect.CheckUpstream -> connections.check(effect.address) {
                 driver.submit(Event.UpstreamChecked(effect.upstream, it))
             }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -132,6 +132,14 @@
         connections.send(hop, exchange) { outcome -> attemptEnded(exchange, hop, outcome) }
     }
 
+    /** Tells the node the digest of a request's body as soon as it is known. */
+    fun awaitBody(effect: Effect.AwaitBody) {
+        exchanges[effect.id]?.awaitBodyDigest { body ->
+            // In a turn of its own, because the node may answer the request, while the caller's data is being read.
+            loop.execute { driver.submit(Event.BodyRead(effect.id, body)) }
+        }
+    }
+
     /** Refuses a request, as the node has decided. */
     fun refuse(effect: Effect.Refuse) {
         val exchange = exchanges.remove(effect.id) ?: return
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
@@ -25,7 +25,8 @@
     private val limits: CallerLimits,
 ) {
     private val replayContent = ArrayDeque<HttpContent>()
-    private val bodyHasher = BodyHasher()
+    private val bodyHasher = BodyHasher(maxBytes = minOf(BodyHasher.MAX_HASHED_BYTES, limits.replayBufferBytes))
+    private var digestListener: ((BodyDigest) -> Unit)? = null
     private var replayBytes = 0
     private var hasBeenAttempted = false
 
@@ -68,6 +69,19 @@
     /** The digest of the body, or null if too little of the body has been read. */
     val bodyDigest: BodyDigest? get() = bodyHasher.digest(isBodyComplete)
 
+    /** Calls [listener] once with the digest of the body, as soon as it is known. */
+    fun awaitBodyDigest(listener: (BodyDigest) -> Unit) {
+        digestListener = listener
+        notifyDigestListener()
+    }
+
+    private fun notifyDigestListener() {
+        val listener = digestListener ?: return
+        val digest = bodyDigest ?: return
+        digestListener = null
+        listener(digest)
+    }
+
     /** Adds a part of the request body; the exchange takes ownership of [content]. */
     fun add(content: HttpContent) {
         val size = content.content().readableBytes()
@@ -82,6 +96,7 @@
         } else {
             attempt?.write(content) ?: content.release()
         }
+        notifyDigestListener()
     }
 
     /** Starts attempt [next] with everything that has been read so far. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -45,6 +45,14 @@
             write("upstream-reachable", "upstream" to change.upstream, "reachable" to change.reachable)
         is StateChange.UpstreamCrashed ->
             write("upstream-crashed", "upstream" to change.upstream, "fingerprints" to change.requests.joinToString())
+        is StateChange.RequestQuarantined -> write(
+            if (change.isQuarantined) "request-quarantined" else "request-cleared",
+            "fingerprint" to change.fingerprint,
+            "customer" to change.fingerprint.customer,
+            "crashes" to change.record.crashes,
+            "generation" to change.record.generation,
+            "source" to change.source,
+        )
         is StateChange.Suspended -> write("suspended", "unseen" to change.unseen)
         is StateChange.StoreReachable -> write("store-reachable", "reachable" to change.reachable)
     }
