Count retries for each pool and for all VMs together

Cause: one budget per VM over all pools, filled by the VM that admits a request and by its home again. Retries to a failing pool were paid for by the requests to the calm ones: 0.1 x 2 of all 450 requests/s against 0.2 of the 270 to the catalogue. The burst was a constant that fits nine VMs (4 each; 86 VMs would have 344 with 212 allowed).

Change: a budget per pool; the admitting VM and the home add different shares of the allowed ratio, together below one; the burst is divided by the number of VMs; a VM starts with one retry, since restarts would add up. Ratio and burst are taken from the platform's settings (checked, tested) instead of constants.

--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/outcomes/RetryBudgetTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/outcomes/RetryBudgetTest.kt
@@ -27,7 +27,7 @@
     private val random = Random(seed)
     private val fleet = VirtualFleet(
         FleetSettings(shape, seed = seed) { vm, zone ->
-            NodeSettings(vm, zone, dispatch = DispatchSettings(retryBurst = RETRY_BURST))
+            NodeSettings(vm, zone, dispatch = DispatchSettings(retryRatio = RATIO, retryBurst = SLACK))
         },
         this,
     ).start()
@@ -75,9 +75,6 @@
         const val RATIO = 0.2
         const val SLACK = 58
         const val WINDOW_SECONDS = 10
-
-        /** The burst that each of nine VMs has on the users' platform. */
-        const val RETRY_BURST = 4
         val DEADLINE = 300.milliseconds
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -51,7 +51,7 @@
     private val schedulers = HomeSchedulers(vms, owners, settings, this, coldUntil)
     private val upstreams = HashMap<UpstreamId, Upstream>()
     private val pools = HashMap<PoolName, Pool>()
-    private val retryBudget = RetryBudget(settings)
+    private val retryBudgets = RetryBudgets(settings) { vms.all.size }
     private val permitReporter = PermitReporter(vms, settings)
     private val homeMonitor = HomeMonitor(vms, settings)
 
@@ -91,7 +91,7 @@
 
     /** Dispatches [request], which has been admitted. */
     fun accept(request: PendingRequest, now: Moment) {
-        retryBudget.recordRequest()
+        if (!request.isRelayedHere) retryBudgets.of(request.pool.name).recordAdmitted()
         requests[request.id] = request
         if (!quarantine.needsBody(request.customer, request.head)) return reserve(request, now)
         request.state = PendingRequest.State.AwaitingBody
@@ -306,6 +306,8 @@
         request.state = PendingRequest.State.Running(home, upstream, now)
         request.crashRecord = quarantine.recordOf(request.fingerprint, now)
         permitReporter.recordGrant(home, request.pool.name, now)
+        if (!request.wasSent) retryBudgets.of(request.pool.name).recordSent()
+        request.wasSent = true
         val version = request.slot?.let { owners[request.pool.name]?.record?.version }
         effects.add(
             Effect.Forward(
@@ -327,7 +329,7 @@
         val refusal = DispatchRefusals.of(outcome.cause)
         val reachedUpstream = outcome.cause != NotRunCause.Unreachable
         if (reachedUpstream) request.hasReachedUpstream = true
-        val mayRepeat = outcome.replayable && (!reachedUpstream || retryBudget.tryTake())
+        val mayRepeat = outcome.replayable && (!reachedUpstream || retryBudgets.of(request.pool.name).tryTake())
         if (mayRepeat) backOff(request, refusal, now) else refuse(request, refusal, now)
     }
 
@@ -336,7 +338,8 @@
         if (timedOut) return refuse(request, DispatchRefusals.DEADLINE_DURING_RUN, now)
         request.runs++
         request.hasReachedUpstream = true
-        if (request.idempotent && request.runs < request.maxRuns && retryBudget.tryTake()) {
+        val mayRunAgain = request.idempotent && request.runs < request.maxRuns
+        if (mayRunAgain && retryBudgets.of(request.pool.name).tryTake()) {
             return backOff(request, DispatchRefusals.CONNECTION_BROKEN, now)
         }
         refuse(request, DispatchRefusals.CONNECTION_BROKEN, now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
@@ -45,6 +45,9 @@
     /** The number of attempts that may have run. */
     var runs = 0
 
+    /** Whether this VM has sent the request to an upstream. */
+    var wasSent = false
+
     /** Whether an attempt has reached an upstream, which may have rejected it. */
     var hasReachedUpstream = false
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/RetryBudget.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/RetryBudget.kt
@@ -1,18 +1,31 @@
+/*
+ * Limits the retries of requests that have reached an upstream. The limit holds for each pool and for all VMs together:
+ * each VM that handles a request adds its share of the allowed ratio to its own budget for the pool, and the allowed
+ * burst is divided by the number of VMs.
+ */
 package cicadagauge.dispatch
 
+import cicadagauge.identity.PoolName
 import cicadagauge.node.DispatchSettings
 
-/**
- * Limits retries of requests that have reached an upstream to a fraction of the requests that arrive
- * ([DispatchSettings.retryRatio]), with bursts of up to [DispatchSettings.retryBurst] retries.
- */
-internal class RetryBudget(private val settings: DispatchSettings) {
-    private var tokens = settings.retryBurst.toDouble()
+/** The retry budgets of one VM. [vmCount] returns how many VMs there are. */
+internal class RetryBudgets(private val settings: DispatchSettings, private val vmCount: () -> Int) {
+    private val budgets = HashMap<PoolName, RetryBudget>()
 
-    /** Records the arrival of a request, which adds its share to the budget. */
-    fun recordRequest() {
-        tokens = minOf(settings.retryBurst.toDouble(), tokens + settings.retryRatio)
-    }
+    /** The budget for requests to [pool]. */
+    fun of(pool: PoolName): RetryBudget = budgets.getOrPut(pool) { RetryBudget(settings, vmCount) }
+}
+
+/** The retry budget of one VM for one pool. */
+internal class RetryBudget(private val settings: DispatchSettings, private val vmCount: () -> Int) {
+    /** A VM starts with one retry at most, or frequent restarts would add up to more than the allowed burst. */
+    private var tokens = minOf(1.0, capacity())
+
+    /** Records that this VM has admitted a request. */
+    fun recordAdmitted(): Unit = add(settings.retryRatio * ADMITTING_SHARE)
+
+    /** Records that this VM, as its home, has sent a request to an upstream for the first time. */
+    fun recordSent(): Unit = add(settings.retryRatio * HOME_SHARE)
 
     /** Consumes the budget of one retry; returns false if there is not enough. */
     fun tryTake(): Boolean {
@@ -20,4 +33,23 @@
         tokens -= 1.0
         return true
     }
+
+    private fun add(credit: Double) {
+        tokens = minOf(capacity(), tokens + credit)
+    }
+
+    /** At least one, so that a VM of a large fleet can retry at all. */
+    private fun capacity(): Double = maxOf(1.0, settings.retryBurst * BURST_SHARE / maxOf(1, vmCount()))
+
+    /**
+     * The shares of the allowed ratio that the two VMs of a request use. Most retries are made by the home. Together
+     * they stay below one, since a retry through another home is counted there as a request.
+     */
+    private companion object {
+        const val ADMITTING_SHARE = 0.15
+        const val HOME_SHARE = 0.7
+
+        /** The share of the allowed burst that is used; the rest covers VMs that start, which have a retry each. */
+        const val BURST_SHARE = 0.6
+    }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -169,8 +169,9 @@
  * @property poolQueueLimit Most requests that may wait in one pool's scheduler.
  * @property customerQueueLimit Most requests of one customer that may wait in one queue.
  * @property maxAttempts Most attempts for one request, relays included.
- * @property retryRatio Retries allowed per accepted request, for requests that may have run.
- * @property retryBurst Most such retries that may be saved up; also the number available at the start.
+ * @property retryRatio Retries of requests that have reached an upstream which all VMs together may send to a pool, per
+ * request to it.
+ * @property retryBurst Such retries to a pool that all VMs together may send in addition, in any short time.
  * @property sweepInterval Interval at which waiting requests are checked for deadlines and retries.
  * @property permitReportInterval Interval at which this VM reports to home VMs which of their permits it uses. A home
  * VM frees a permit that is missing from the report, if it was lent at least twice this time before.
@@ -198,7 +199,7 @@
     val poolQueueLimit: Int = 2_000,
     val customerQueueLimit: Int = 500,
     val maxAttempts: Int = 8,
-    val retryRatio: Double = 0.1,
+    val retryRatio: Double = 0.2,
     val retryBurst: Int = 50,
     val sweepInterval: Duration = 5.milliseconds,
     val permitReportInterval: Duration = 100.milliseconds,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/SelfRegisteredNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/SelfRegisteredNode.kt
@@ -29,9 +29,6 @@
     /** Small VMs take tens of milliseconds to answer while their code is still being JIT-compiled. */
     private val COORDINATOR_ANSWER_TIMEOUT: Duration = 150.milliseconds
 
-    /** Keeps nine VMs together below the 58 retries that operators allow in any 10 s. */
-    private const val RETRY_BURST = 4
-
     /** Every store call has a cost, so changes that arrive close together are read in one call. */
     private val WATCH_PAUSE: Duration = 150.milliseconds
 
@@ -41,8 +38,11 @@
     /** The time within which the other VMs have read a new registration. */
     private val LISTED_BEFORE_READY: Duration = 400.milliseconds
 
-    /** The settings of the node that runs on [vm] and registers itself as such. */
-    public fun settings(vm: Vm): NodeSettings = NodeSettings(
+    /**
+     * The settings of the node that runs on [vm] and registers itself as such, with [retryRatio] and [retryBurst] as in
+     * [DispatchSettings].
+     */
+    public fun settings(vm: Vm, retryRatio: Double, retryBurst: Int): NodeSettings = NodeSettings(
         vm = vm.id,
         zone = vm.zone,
         ownership = OwnershipSettings(
@@ -61,7 +61,11 @@
             coordinatorSuspicion = BUDGET_REQUEST_INTERVAL,
             seatLag = ABSENCE_TIMEOUT,
         ),
-        dispatch = DispatchSettings(retryBurst = RETRY_BURST, sweepInterval = 10.milliseconds),
+        dispatch = DispatchSettings(
+            retryRatio = retryRatio,
+            retryBurst = retryBurst,
+            sweepInterval = 10.milliseconds,
+        ),
         dissemination = DisseminationSettings(
             watchersPerZone = Int.MAX_VALUE,
             recordWatchersPerZone = 1,
