Count a second zone as a retry where an upstream of the first has rejected the request

Cause: a home that may not retry refuses with `overloaded`. The admitting VM took that for a home that had not sent the request at all, and tried the next zone without asking the budget; there it all began again.

Change: a home says `upstream-busy` once an upstream has rejected the request, whatever refuses it in the end, and the admitting VM tries another zone after that only if its retry budget allows it. Without a send the next zone is tried as before.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/DispatchRefusals.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/DispatchRefusals.kt
@@ -11,7 +11,7 @@
     private val RETRY_AFTER = 100.milliseconds
     private val OWNER_UNAVAILABLE =
         Refusal(Reason.OwnerUnavailable, "no upstream could take the request in time", RETRY_AFTER)
-    private val UPSTREAM_BUSY = Refusal(Reason.Overloaded, "the upstream has no free place", RETRY_AFTER)
+    private val UPSTREAM_BUSY = Refusal(Reason.UpstreamBusy, "the upstream has no free place", RETRY_AFTER)
 
     val UPSTREAM_NOT_DECLARED = Refusal(Reason.NoUpstream, "the upstream is not declared any more")
     val DEADLINE_DURING_RUN = Refusal(Reason.DeadlineDuringRun, "the deadline came while the request may have run")
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -221,11 +221,17 @@
 
     /**
      * Tries another zone if the home refused the request for lack of capacity in this one; otherwise refuses the
-     * request. The retry-after time of the refusal is the expected wait in this zone.
+     * request. The retry-after time of the refusal is the expected wait in this zone. If an upstream of this zone has
+     * rejected the request, trying another one is a retry.
      */
     private fun refusedByHome(request: PendingRequest, refusal: Refusal, now: Moment) {
-        val isFull = refusal.reason == Reason.Overloaded || refusal.reason == Reason.NoUpstream
-        val triesNext = isFull && request.zoneSelector.tryNext(refusal.retryAfter ?: Duration.INFINITE)
+        val wasRejected = refusal.reason == Reason.UpstreamBusy
+        if (wasRejected) request.hasReachedUpstream = true
+        val isFull = wasRejected || refusal.reason == Reason.Overloaded || refusal.reason == Reason.NoUpstream
+        val mayTryNext = isFull &&
+            request.zoneSelector.maySpill &&
+            (!wasRejected || retryBudgets.of(request.pool.name).tryTake())
+        val triesNext = mayTryNext && request.zoneSelector.tryNext(refusal.retryAfter ?: Duration.INFINITE)
         if (triesNext) reserve(request, now) else refuse(request, refusal, now)
     }
 
@@ -364,16 +370,19 @@
         requests -= request.id
         waiting -= request
         withdraw(request, now)
-        effects.add(Effect.Refuse(request.id, withCorrectVerdict(request, refusal)))
+        effects.add(Effect.Refuse(request.id, withCorrectReason(request, refusal)))
     }
 
-    /** Never reports a request as not run if an earlier attempt may have run, however the last one ended. */
-    private fun withCorrectVerdict(request: PendingRequest, refusal: Refusal): Refusal =
-        if (request.runs == 0 || refusal.reason.verdict != Verdict.NotRun) {
-            refusal
-        } else {
-            DispatchRefusals.CONNECTION_BROKEN
-        }
+    /**
+     * Never reports a request as not run if an earlier attempt may have run, however the last one ended, and reports
+     * whether an upstream has rejected it.
+     */
+    private fun withCorrectReason(request: PendingRequest, refusal: Refusal): Refusal = when {
+        request.runs > 0 && refusal.reason.verdict == Verdict.NotRun -> DispatchRefusals.CONNECTION_BROKEN
+        request.hasReachedUpstream && refusal.reason == Reason.Overloaded -> refusal.copy(reason = Reason.UpstreamBusy)
+        request.hasReachedUpstream && refusal.reason == Reason.NoUpstream -> refusal.copy(reason = Reason.UpstreamBusy)
+        else -> refusal
+    }
 
     /** Cancels the reservation of [request] if it is still unanswered. */
     private fun withdraw(request: PendingRequest, now: Moment) {
