--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/RetryBudget.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/RetryBudget.kt
@@ -18,8 +18,7 @@
 
 /** The retry budget of one VM for one pool. */
 internal class RetryBudget(private val settings: DispatchSettings, private val vmCount: () -> Int) {
-    /** A VM starts with one retry at most, or frequent restarts would add up to more than the allowed burst. */
-    private var tokens = minOf(1.0, capacity())
+    private var tokens = capacity()
 
     /** Records that this VM has admitted a request. */
     fun recordAdmitted(): Unit = add(settings.retryRatio * ADMITTING_SHARE)
@@ -49,7 +48,7 @@
         const val ADMITTING_SHARE = 0.15
         const val HOME_SHARE = 0.7
 
-        /** The share of the allowed burst that is used; the rest covers VMs that start, which have a retry each. */
-        const val BURST_SHARE = 0.6
+        /** The share of the allowed burst that is used. The rest covers a restart of all VMs, which start with it. */
+        const val BURST_SHARE = 0.45
     }
 }
