--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/outcomes/RetryBudgetTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/outcomes/RetryBudgetTest.kt
@@ -1,7 +1,6 @@
 package cicadagauge.bench.outcomes
 
 import cicadagauge.bench.ownership.FakeRequestHead
-import cicadagauge.bench.ownership.KnownFailure
 import cicadagauge.bench.virtual.FleetObserver
 import cicadagauge.bench.virtual.FleetSettings
 import cicadagauge.bench.virtual.VirtualFleet
@@ -9,6 +8,7 @@
 import cicadagauge.node.DispatchSettings
 import cicadagauge.node.Effect
 import cicadagauge.node.NodeSettings
+import cicadagauge.standins.KnownFailure
 import cicadagauge.standins.deployment.DeploymentShape
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/ownership/OwnershipTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/ownership/OwnershipTest.kt
@@ -1,5 +1,6 @@
 package cicadagauge.bench.ownership
 
+import cicadagauge.standins.KnownFailure
 import cicadagauge.standins.deployment.DeploymentShape
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/ownership/KnownFailure.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/KnownFailure.kt
@@ -1,23 +1,24 @@
-package cicadagauge.bench.ownership
+package cicadagauge.standins
 
 import java.nio.file.Files
 import java.nio.file.Path
 
 /** An entry of KNOWN-RED.txt: a test that fails because of a known fault that is not fixed yet. */
-data class KnownFailure(val test: String, val command: String, val seen: String, val issue: String) {
-    companion object {
+public data class KnownFailure(val test: String, val command: String, val seen: String, val issue: String) {
+    public companion object {
         private const val FIELD_COUNT = 4
         private val FILE = Path.of("..", "KNOWN-RED.txt")
 
         /** Reads all entries. A malformed line fails the test run, so that no test is skipped by accident. */
-        fun read(): List<KnownFailure> {
+        public fun read(): List<KnownFailure> {
             if (!Files.exists(FILE)) return emptyList()
             return Files.readAllLines(FILE).filter { it.isNotBlank() && !it.startsWith("#") }.map { line ->
                 val fields = line.split('|').map { it.trim() }
                 require(fields.size == FIELD_COUNT) {
                     "KNOWN-RED.txt: '$line' needs $FIELD_COUNT fields separated by '|'"
                 }
-                KnownFailure(fields[0], fields[1], fields[2], fields[3])
+                val (test, command, seen, issue) = fields
+                KnownFailure(test, command, seen, issue)
             }
         }
     }
