--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -91,7 +91,7 @@
 
     /** Dispatches [request], which has been admitted. */
     fun accept(request: PendingRequest, now: Moment) {
-        if (!request.isRelayedHere) retryBudgets.of(request.pool.name).recordAdmitted()
+        if (!request.isRelayedHere) retryBudgetOf(request).recordAdmitted()
         requests[request.id] = request
         if (!quarantine.needsBody(request.customer, request.head)) return reserve(request, now)
         request.state = PendingRequest.State.AwaitingBody
@@ -230,7 +230,7 @@
         val isFull = wasRejected || refusal.reason == Reason.Overloaded || refusal.reason == Reason.NoUpstream
         val mayTryNext = isFull &&
             request.zoneSelector.maySpill &&
-            (!wasRejected || retryBudgets.of(request.pool.name).tryTake())
+            (!wasRejected || retryBudgetOf(request).tryTake())
         val triesNext = mayTryNext && request.zoneSelector.tryNext(refusal.retryAfter ?: Duration.INFINITE)
         if (triesNext) reserve(request, now) else refuse(request, refusal, now)
     }
@@ -312,7 +312,7 @@
         request.state = PendingRequest.State.Running(home, upstream, now)
         request.crashRecord = quarantine.recordOf(request.fingerprint, now)
         permitReporter.recordGrant(home, request.pool.name, now)
-        if (!request.wasSent) retryBudgets.of(request.pool.name).recordSent()
+        if (!request.wasSent) retryBudgetOf(request).recordSent()
         request.wasSent = true
         val version = request.slot?.let { owners[request.pool.name]?.record?.version }
         effects.add(
@@ -335,17 +335,19 @@
         val refusal = DispatchRefusals.of(outcome.cause)
         val reachedUpstream = outcome.cause != NotRunCause.Unreachable
         if (reachedUpstream) request.hasReachedUpstream = true
-        val mayRepeat = outcome.replayable && (!reachedUpstream || retryBudgets.of(request.pool.name).tryTake())
+        val mayRepeat = outcome.replayable && (!reachedUpstream || retryBudgetOf(request).tryTake())
         if (mayRepeat) backOff(request, refusal, now) else refuse(request, refusal, now)
     }
 
+    private fun retryBudgetOf(request: PendingRequest): RetryBudget = retryBudgets.of(request.pool.name)
+
     private fun lost(request: PendingRequest, outcome: AttemptOutcome.Lost, now: Moment) {
         val timedOut = outcome.timedOut || now >= request.deadline
         if (timedOut) return refuse(request, DispatchRefusals.DEADLINE_DURING_RUN, now)
         request.runs++
         request.hasReachedUpstream = true
         val mayRunAgain = request.idempotent && request.runs < request.maxRuns
-        if (mayRunAgain && retryBudgets.of(request.pool.name).tryTake()) {
+        if (mayRunAgain && retryBudgetOf(request).tryTake()) {
             return backOff(request, DispatchRefusals.CONNECTION_BROKEN, now)
         }
         refuse(request, DispatchRefusals.CONNECTION_BROKEN, now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
@@ -72,7 +72,8 @@
             .filter { isNewer(local.getValue(it.pool), remote[it.pool]) }
             .forEach { vms.send(vm, PeerMessage.RecordUpdate(it)) }
         if (digest.quarantine != quarantine.digest(now)) {
-            vms.send(vm, PeerMessage.QuarantineUpdate(quarantine.suspicions(now)))
+            val suspicions = quarantine.suspicions(now)
+            if (suspicions.isNotEmpty()) vms.send(vm, PeerMessage.QuarantineUpdate(suspicions))
         }
         val lacksEntries = compareEntries(vm, digest.prefixes)
         val lacksRecords = remote.values.any { isNewer(it, local[it.pool]) }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
@@ -6,6 +6,7 @@
 
 import cicadagauge.gateway.ProtocolHeaders
 import cicadagauge.gateway.TcpKeepAlive
+import cicadagauge.gateway.isConnectionRefused
 import cicadagauge.identity.Address
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
@@ -14,7 +15,6 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
-import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -27,7 +27,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
-import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
@@ -140,8 +139,7 @@
         }
 
         fun connectFailed(cause: Throwable) {
-            val isRefused = cause is ConnectException && cause !is ConnectTimeoutException
-            finish(if (isRefused) CallResult.Refused else CallResult.Lost)
+            finish(if (cause.isConnectionRefused) CallResult.Refused else CallResult.Lost)
         }
 
         fun finish(result: CallResult) {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
@@ -8,6 +8,7 @@
 import cicadagauge.gateway.UpstreamLimits
 import cicadagauge.gateway.caller.Exchange
 import cicadagauge.gateway.environment.Dialect
+import cicadagauge.gateway.isConnectionRefused
 import cicadagauge.identity.Address
 import cicadagauge.node.UpstreamState
 import cicadagauge.outcome.AttemptOutcome
@@ -19,12 +20,10 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
-import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.timeout.IdleStateHandler
-import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 
 /** Sends requests to upstreams, on [loop]. */
@@ -59,10 +58,9 @@
         }
     }
 
-    private fun stateShownBy(failure: Throwable?): UpstreamState = when (failure) {
-        null -> UpstreamState.Accepting
-        is ConnectTimeoutException -> UpstreamState.Silent
-        is ConnectException -> UpstreamState.Refusing
+    private fun stateShownBy(failure: Throwable?): UpstreamState = when {
+        failure == null -> UpstreamState.Accepting
+        failure.isConnectionRefused -> UpstreamState.Refusing
         else -> UpstreamState.Silent
     }
 
