Log how each watch of the store ends

With the logs as they were, a VM that waits for an answer that never comes looks like one that reads changes and drops them: store-reachable is about any call, and nothing says when a watch began and how it ended. store-watch-ended gives the prefix, the result with the number of changes and the revision, and how long the watch waited; the counter cicadagauge_state_changes_total{kind="WatchEnded"} counts them.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -59,4 +59,7 @@
 
     /** The platform store started or stopped answering this VM. */
     public data class StoreReachable(val reachable: Boolean) : StateChange
+
+    /** A watch of the entries under [prefix] ended with [result], [waited] after it was sent. */
+    public data class WatchEnded(val prefix: String, val result: WatchResult, val waited: Duration) : StateChange
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -93,8 +93,16 @@
         StoreKeys.STATE to watchers,
         StoreKeys.RECORDS to recordWatchers,
     ).map { (prefix, prefixWatchers) ->
-        val shared = sharedEntries.firstOrNull { it.prefix.startsWith(prefix) }
-        StoreWatcher(prefix, store, prefixWatchers, settings.dissemination, timers, StoreEntryHandler(), shared)
+        StoreWatcher(
+            prefix = prefix,
+            store = store,
+            watchers = prefixWatchers,
+            settings = settings.dissemination,
+            timers = timers,
+            listener = StoreEntryHandler(),
+            effects = effects,
+            shared = sharedEntries.firstOrNull { it.prefix.startsWith(prefix) },
+        )
     }
     private var wakeAt = Moment.FUTURE
     private var stopping = false
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
@@ -3,8 +3,13 @@
 import cicadagauge.identity.Moment
 import cicadagauge.membership.Watchers
 import cicadagauge.node.DisseminationSettings
+import cicadagauge.node.Effect
+import cicadagauge.node.Effects
+import cicadagauge.node.StateChange
 import cicadagauge.node.Timers
+import cicadagauge.node.WatchResult
 import cicadagauge.peer.PeerMessage
+import kotlin.time.Duration
 
 /** Receives the entries that a [StoreWatcher] reads and their changes. */
 internal interface StoreListener {
@@ -27,6 +32,7 @@
     private val settings: DisseminationSettings,
     private val timers: Timers,
     private val listener: StoreListener,
+    private val effects: Effects,
     val shared: SharedEntries? = null,
 ) {
     private val known = HashSet<StoreKey>()
@@ -48,7 +54,7 @@
     fun start(now: Moment) {
         when {
             !isUpToDate -> list()
-            watchers.includesSelf() -> watch()
+            watchers.includesSelf() -> watch(sentAt = now)
             else -> timers.at(now + settings.watchRetry, ::start)
         }
     }
@@ -73,8 +79,9 @@
         start(now)
     }
 
-    private fun watch() {
+    private fun watch(sentAt: Moment) {
         store.call(StoreCall.Watch(prefix, after = revision, wait = settings.watchWait)) { reply, now ->
+            reportEnd(reply, waited = now - sentAt)
             when (reply) {
                 is StoreReply.Changes -> applyChanges(reply, now)
                 StoreReply.HistoryLost -> listAgain(now)
@@ -83,6 +90,15 @@
         }
     }
 
+    private fun reportEnd(reply: StoreReply, waited: Duration) {
+        val result = when (reply) {
+            is StoreReply.Changes -> WatchResult.Reported(reply.entries.size, reply.upTo)
+            StoreReply.HistoryLost -> WatchResult.HistoryLost
+            else -> WatchResult.Unanswered
+        }
+        effects.add(Effect.StateChanged(StateChange.WatchEnded(prefix, result, waited)))
+    }
+
     private fun applyChanges(changes: StoreReply.Changes, now: Moment) {
         if (changes.upTo < revision) return listAgain(now)
         revision = changes.upTo
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherTest.kt
@@ -45,6 +45,7 @@
         settings = DisseminationSettings(),
         timers = timers,
         listener = listener,
+        effects = effects,
         shared = SharedEntries(PREFIX),
     )
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -55,6 +55,12 @@
         )
         is StateChange.Suspended -> write("suspended", "unseen" to change.unseen)
         is StateChange.StoreReachable -> write("store-reachable", "reachable" to change.reachable)
+        is StateChange.WatchEnded -> write(
+            "store-watch-ended",
+            "prefix" to change.prefix,
+            "result" to change.result,
+            "waitedMillis" to change.waited.inWholeMilliseconds,
+        )
     }
 
     private companion object {
