--- /dev/null
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/configuration/StoreOutageTest.kt
@@ -0,0 +1,69 @@
+package cicadagauge.bench.configuration
+
+import cicadagauge.bench.ownership.FakeRequestHead
+import cicadagauge.bench.virtual.FleetSettings
+import cicadagauge.bench.virtual.RequestResult
+import cicadagauge.bench.virtual.VirtualFleet
+import cicadagauge.declaration.Declaration
+import cicadagauge.identity.RouteName
+import cicadagauge.outcome.Reason
+import cicadagauge.standins.KnownFailure
+import cicadagauge.standins.deployment.DeploymentShape
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Tests, under virtual time, that changes of the declaration are in force in time after an outage of the store. */
+class StoreOutageTest :
+    FunSpec({
+        val knownFailures = KnownFailure.read()
+
+        /** [base] with a copy of its first route at `/added`. */
+        fun withAddedRoute(base: Declaration): Declaration {
+            val route = base.routes.first()
+            return base.copy(routes = base.routes + route.copy(name = RouteName("added"), path = "/added/{key}"))
+        }
+
+        /**
+         * Plays an outage of 5 s that begins [lead] after a change of the declaration, adds a route as the store
+         * returns, and returns the VMs that don't know the route [APPLY_TIME] later.
+         */
+        fun vmsWithoutRoute(lead: Duration): List<String> {
+            val shape = DeploymentShape.HOSHIZORA
+            val fleet = VirtualFleet(FleetSettings(shape)).start()
+            fleet.time.advanceBy(10.seconds)
+            fleet.applyDeclaration(fleet.declaration.copy(entryVms = shape.entryVms), version = 2)
+            fleet.time.advanceBy(lead)
+            fleet.store.isDown = true
+            fleet.time.advanceBy(5.seconds)
+            fleet.store.isDown = false
+            fleet.applyDeclaration(withAddedRoute(fleet.declaration), version = 3)
+            fleet.time.advanceBy(APPLY_TIME)
+            val unaware = ArrayList<String>()
+            for (vm in fleet.vms) {
+                val head = FakeRequestHead("GET", "/added/club-7", shape.apiKeyOf("customer-1"), 1.seconds)
+                fleet.request(vm, head) { result ->
+                    val reason = (result as? RequestResult.Refused)?.refusal?.reason
+                    if (reason == Reason.NoRoute) unaware += vm.id.value
+                }
+            }
+            fleet.time.advanceBy(1.seconds)
+            return unaware
+        }
+
+        for (lead in listOf(200.microseconds, 1.milliseconds, 2.milliseconds, 1.seconds)) {
+            val name = "a route added after a store outage is known in time: it began $lead after a change"
+            test(name).config(enabled = knownFailures.none { it.test == name }) {
+                withClue("VMs that answer 404") { vmsWithoutRoute(lead) shouldBe emptyList() }
+            }
+        }
+    }) {
+    private companion object {
+        /** The time within which an accepted declaration is to be in force on all VMs. */
+        val APPLY_TIME = 2.seconds
+    }
+}
