Watch the store anew when it answers again after an outage

Cause: a watch may wait for 25 s. One that is sent while the store is out is lost, though its connection stands; the VM waited for it until the time-out, while its other calls were answered again. A lost watch can't be told from one without changes. An outage that begins within the pause after a change meets the next watch of every VM at once, so no peer knows more either.

Change: when the store answers a call after one that it left unanswered, each watcher replaces its pending watch, at the earliest half a second after it was sent, so that a store that answers now and then isn't flooded. The old call is cancelled, or every outage would leave a connection waiting. Its connection is closed also while it is still being opened: a watch's connect had the watch's own time-out.

Why this works: any call of a VM shows an outage, the renewal of its lease every 450 ms at the latest, and a call that got no answer is followed by one that does, which is the moment from which new watches are heard.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Effect.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Effect.kt
@@ -79,9 +79,12 @@
     /** Sends [message] to the VM [to] at [address]. */
     public data class SendPeer(val to: VmId, val address: Address, val message: PeerMessage) : Effect
 
-    /** Calls the platform store; exactly one [Event.StoreReplied] with [id] follows. */
+    /** Calls the platform store; exactly one [Event.StoreReplied] with [id] follows, unless the call is cancelled. */
     public data class CallStore(val id: StoreCallId, val call: StoreCall) : Effect
 
+    /** Gives up the store call [id]: its connection is closed, and no reply to it follows. */
+    public data class CancelStoreCall(val id: StoreCallId) : Effect
+
     /** Schedules one [Event.Woken] at [moment]; it replaces any that was scheduled before. */
     public data class WakeAt(val moment: Moment) : Effect
 
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/WatchResult.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/WatchResult.kt
@@ -10,6 +10,9 @@
     /** The store no longer has the history that the watch asked for. */
     public data object HistoryLost : WatchResult
 
+    /** The VM gave the watch up and sent another, because the store had been unavailable meanwhile. */
+    public data object Renewed : WatchResult
+
     /** No answer arrived in time, or the connection broke. */
     public data object Unanswered : WatchResult
 }
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -222,7 +222,7 @@
             is Effect.CheckUpstream -> check(vm, effect)
             is Effect.Refuse -> openRequests.remove(effect.id)?.onResult(RequestResult.Refused(effect.refusal))
             is Effect.StateChanged -> observer.onStateChange(this, vm, effect.change)
-            is Effect.Classify, is Effect.WakeAt, Effect.DutiesHandedOver -> Unit
+            is Effect.CancelStoreCall, is Effect.Classify, is Effect.WakeAt, Effect.DutiesHandedOver -> Unit
         }
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -241,6 +241,7 @@
  * @property recordWatchersPerZone VMs per availability zone that watch ownership records in the store.
  * @property watchWait How long a store watch may wait for changes.
  * @property watchRetry Delay before a failed store read or watch is repeated.
+ * @property minWatchRenewalInterval Shortest time from a watch to the one that replaces it after the store's return.
  * @property watchPause Delay between a watch that returned changes and the next one.
  * @property registrationGrace How long after the store's return an upstream whose registration has lapsed may register
  * again before it is removed.
@@ -252,6 +253,7 @@
     val recordWatchersPerZone: Int = 2,
     val watchWait: Duration = 10.seconds,
     val watchRetry: Duration = 250.milliseconds,
+    val minWatchRenewalInterval: Duration = 500.milliseconds,
     val watchPause: Duration = Duration.ZERO,
     val registrationGrace: Duration = 2_300.milliseconds,
 )
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreClient.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreClient.kt
@@ -8,6 +8,7 @@
 /** Issues store calls and passes each reply to its caller. */
 internal class StoreClient(private val effects: Effects) {
     private val callbacks = HashMap<StoreCallId, (StoreReply, Moment) -> Unit>()
+    private val returnListeners = ArrayList<(Moment) -> Unit>()
     private var nextId = 1L
     private var reachable = true
 
@@ -19,11 +20,24 @@
     var returnedAt: Moment = Moment.PAST
         private set
 
-    /** Issues [call]; [onReply] is called once with the reply and the time of its receipt. */
-    fun call(call: StoreCall, onReply: (StoreReply, Moment) -> Unit) {
+    /** Calls [listener] with the current time whenever the store answers again after a call without an answer. */
+    fun onReturn(listener: (Moment) -> Unit) {
+        returnListeners += listener
+    }
+
+    /**
+     * Issues [call]; [onReply] is called once with the reply and the time of its receipt, unless the call is cancelled.
+     */
+    fun call(call: StoreCall, onReply: (StoreReply, Moment) -> Unit): StoreCallId {
         val id = StoreCallId(nextId++)
         callbacks[id] = onReply
         effects.add(Effect.CallStore(id, call))
+        return id
+    }
+
+    /** Gives up call [id]; has no effect where it has been answered. */
+    fun cancel(id: StoreCallId) {
+        if (callbacks.remove(id) != null) effects.add(Effect.CancelStoreCall(id))
     }
 
     /** Handles the reply to call [id]; a second reply is ignored. */
@@ -36,8 +50,10 @@
     private fun noteReachability(answered: Boolean, now: Moment) {
         if (answered) lastAnswerAt = now
         if (answered == reachable) return
-        if (answered) returnedAt = now
         reachable = answered
         effects.add(Effect.StateChanged(StateChange.StoreReachable(answered)))
+        if (!answered) return
+        returnedAt = now
+        returnListeners.forEach { it(now) }
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
@@ -43,6 +43,11 @@
         private set
 
     private var isUpToDate = false
+    private var pendingWatch: PendingWatch? = null
+
+    init {
+        store.onReturn(::renewWatch)
+    }
 
     /** Applies a peer's update and reports the changes in it to the listener. */
     fun adopt(update: PeerMessage.EntriesUpdate, now: Moment) {
@@ -80,22 +85,40 @@
     }
 
     private fun watch(sentAt: Moment) {
-        store.call(StoreCall.Watch(prefix, after = revision, wait = settings.watchWait)) { reply, now ->
-            reportEnd(reply, waited = now - sentAt)
+        val call = StoreCall.Watch(prefix, after = revision, wait = settings.watchWait)
+        val id = store.call(call) { reply, now ->
+            pendingWatch = null
+            reportEnd(resultOf(reply), waited = now - sentAt)
             when (reply) {
                 is StoreReply.Changes -> applyChanges(reply, now)
                 StoreReply.HistoryLost -> listAgain(now)
                 else -> timers.at(now + settings.watchRetry, ::start)
             }
         }
+        pendingWatch = PendingWatch(id, sentAt)
     }
 
-    private fun reportEnd(reply: StoreReply, waited: Duration) {
-        val result = when (reply) {
-            is StoreReply.Changes -> WatchResult.Reported(reply.entries.size, reply.upTo)
-            StoreReply.HistoryLost -> WatchResult.HistoryLost
-            else -> WatchResult.Unanswered
-        }
+    /**
+     * Replaces a watch that may have been sent while the store was unavailable: the store answers new calls, but never
+     * one that it lost, and a lost watch looks like one without changes until its waiting time is over.
+     */
+    private fun renewWatch(now: Moment) {
+        val pending = pendingWatch ?: return
+        val renewableAt = pending.sentAt + settings.minWatchRenewalInterval
+        if (now < renewableAt) return timers.at(renewableAt) { if (pendingWatch == pending) renewWatch(it) }
+        store.cancel(pending.id)
+        pendingWatch = null
+        reportEnd(WatchResult.Renewed, waited = now - pending.sentAt)
+        start(now)
+    }
+
+    private fun resultOf(reply: StoreReply): WatchResult = when (reply) {
+        is StoreReply.Changes -> WatchResult.Reported(reply.entries.size, reply.upTo)
+        StoreReply.HistoryLost -> WatchResult.HistoryLost
+        else -> WatchResult.Unanswered
+    }
+
+    private fun reportEnd(result: WatchResult, waited: Duration) {
         effects.add(Effect.StateChanged(StateChange.WatchEnded(prefix, result, waited)))
     }
 
@@ -119,4 +142,6 @@
         isUpToDate = false
         start(now)
     }
+
+    private class PendingWatch(val id: StoreCallId, val sentAt: Moment)
 }
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherTest.kt
@@ -67,6 +67,19 @@
         watcher.shared!!.since(other.watcher.shared!!.latest)?.let { other.watcher.adopt(it, now) }
     }
 
+    /** Makes another call, which gets [reply], and returns the ids of the calls that are cancelled then. */
+    fun answerOtherCall(reply: StoreReply): List<StoreCallId> {
+        nextCall()
+        store.call(StoreCall.Get(StoreKey("other"))) { _, _ -> }
+        val other = effects.take().filterIsInstance<Effect.CallStore>().single()
+        store.replied(other.id, reply, now)
+        val followUps = effects.take()
+        followUps.filterIsInstance<Effect.CallStore>().forEach { pendingCalls.addLast(it) }
+        val cancelled = followUps.filterIsInstance<Effect.CancelStoreCall>().map { it.id }
+        pendingCalls.removeIf { it.id in cancelled }
+        return cancelled
+    }
+
     fun answer(reply: StoreReply) {
         nextCall()
         store.replied(pendingCalls.removeFirst().id, reply, now)
@@ -104,6 +117,22 @@
             watched.values shouldBe mapOf("a" to "1", "b" to "1")
         }
 
+        test("a watch that was sent during an outage of the store is replaced when the store answers again") {
+            val watched = listed()
+            watched.nextCall()
+            watched.answerOtherCall(StoreReply.Unavailable) shouldBe emptyList()
+            watched.answerOtherCall(StoreReply.Found(entry("other", null, 0))).size shouldBe 1
+            (watched.nextCall() as StoreCall.Watch).after shouldBe StoreRevision(5)
+            watched.answer(StoreReply.Changes(listOf(entry("a", "2", 6)), StoreRevision(6)))
+            watched.values shouldBe mapOf("a" to "2", "b" to "1")
+        }
+
+        test("a watch is not replaced while the store answers other calls") {
+            val watched = listed()
+            watched.nextCall()
+            watched.answerOtherCall(StoreReply.Found(entry("other", null, 0))) shouldBe emptyList()
+        }
+
         test("a VM that can not reach the store learns of added, changed and deleted entries from a peer") {
             val reader = listed()
             val disconnected = listed()
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -51,6 +51,7 @@
     private val client = JsonHttpClient(loop, JsonHttpClient.authFields(settings.secret, settings.node.vm.value))
     private val peers = PeerSender(client, settings.platform.peerCallTimeout)
     private val platformClient = environment.connect(loop, driver::submit)
+    private val storeCalls = StoreCalls(platformClient, driver::submit)
     private val handler = ControlHandler(DeploymentSecret(settings.secret), driver, ::status, metrics)
     private val control = JsonHttpServer(group, settings.control, handler)
     private val readiness = settings.readiness?.let { JsonHttpServer(group, it, handler::handlePublic) }
@@ -170,9 +171,8 @@
             is Effect.SendRangeOrder -> platformClient.order(effect.owner, effect.order) {
                 driver.submit(Event.RangeOrderEnded(effect.id, it))
             }
-            is Effect.CallStore -> platformClient.store(effect.call) {
-                driver.submit(Event.StoreReplied(effect.id, it))
-            }
+            is Effect.CallStore -> storeCalls.start(effect)
+            is Effect.CancelStoreCall -> storeCalls.cancel(effect.id)
             is Effect.StateChanged -> {
                 metrics.countStateChange(effect.change)
                 log.write(effect.change)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
@@ -72,17 +72,17 @@
     private val idle = HashMap<Address, ArrayDeque<Channel>>()
 
     /** Makes [call] and passes the body of a 2xx response to [onBody], or null if there was none in time. */
-    public fun call(call: JsonCall, onBody: (ByteArray?) -> Unit): Unit = exchange(call) { result ->
+    public fun call(call: JsonCall, onBody: (ByteArray?) -> Unit): CancellableCall = exchange(call) { result ->
         onBody((result as? CallResult.Answered)?.takeIf { it.isSuccess }?.body)
     }
 
     /** Makes [call] and passes the result to [onResult]. */
-    public fun exchange(call: JsonCall, onResult: (CallResult) -> Unit) {
+    public fun exchange(call: JsonCall, onResult: (CallResult) -> Unit): CancellableCall {
         val pending = PendingCall(call, onResult)
         pending.timeout = loop.schedule({ pending.fail() }, call.timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         val reused = takeIdle(call.target)
-        if (reused != null) return send(reused, pending)
-        connect(call, pending)
+        if (reused == null) connect(call, pending) else send(reused, pending)
+        return CancellableCall { pending.cancel() }
     }
 
     private fun takeIdle(target: Address): Channel? {
@@ -96,7 +96,9 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, call.timeout.inWholeMilliseconds.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(Initializer())
-        TcpKeepAlive.enable(bootstrap).connect(call.target.host, call.target.port).addListener { result ->
+        val connected = TcpKeepAlive.enable(bootstrap).connect(call.target.host, call.target.port)
+        pending.connected = connected
+        connected.addListener { result ->
             if (!result.isSuccess) return@addListener pending.connectFailed(result.cause())
             val channel = (result as ChannelFuture).channel()
             if (pending.isDone) addIdle(call.target, channel) else send(channel, pending)
@@ -127,15 +129,29 @@
     }
 
     private class PendingCall(val call: JsonCall, private val onResult: (CallResult) -> Unit) {
+        var connected: ChannelFuture? = null
         var channel: Channel? = null
         var timeout: ScheduledFuture<*>? = null
         var isDone = false
 
         /** Ends the call as lost and resets its connection, so that data still in transit can't arrive later. */
         fun fail() {
+            reset()
+            finish(CallResult.Lost)
+        }
+
+        /** Ends the call without a result, and resets its connection. */
+        fun cancel() {
+            if (isDone) return
+            isDone = true
+            timeout?.cancel(false)
+            reset()
+            connected?.channel()?.close()
+        }
+
+        private fun reset() {
             channel?.let { if (it.isActive) it.config().setOption(ChannelOption.SO_LINGER, 0) }
             channel?.close()
-            finish(CallResult.Lost)
         }
 
         fun connectFailed(cause: Throwable) {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/DefaultEnvironment.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/DefaultEnvironment.kt
@@ -2,6 +2,7 @@
 
 import cicadagauge.gateway.GatewaySettings
 import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.gateway.control.CancellableCall
 import cicadagauge.gateway.control.JsonCall
 import cicadagauge.gateway.control.JsonHttpClient
 import cicadagauge.identity.Address
@@ -43,10 +44,11 @@
 
         override fun start(): Unit = pollVms()
 
-        override fun store(call: StoreCall, reply: (StoreReply) -> Unit) {
+        override fun store(call: StoreCall, reply: (StoreReply) -> Unit): CancellableCall {
             val wait = if (call is StoreCall.Watch) call.wait else Duration.ZERO
             val body = STORE_WRITER.writeValueAsBytes(call)
-            client.call(JsonCall(store, PlatformPaths.STORE, body, times.storeCallTimeout + wait)) { responseBody ->
+            val jsonCall = JsonCall(store, PlatformPaths.STORE, body, times.storeCallTimeout + wait)
+            return client.call(jsonCall) { responseBody ->
                 val parsed = responseBody?.let { parse { Json.mapper.readValue(it, StoreReply::class.java) } }
                 reply(parsed ?: StoreReply.Unavailable)
             }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/Environment.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/Environment.kt
@@ -4,6 +4,7 @@
  */
 package cicadagauge.gateway.environment
 
+import cicadagauge.gateway.control.CancellableCall
 import cicadagauge.identity.Address
 import cicadagauge.node.Event
 import cicadagauge.ownership.GrantOrder
@@ -38,8 +39,8 @@
     /** Starts reporting events that the gateway did not ask for, such as changes of the VM list. */
     public fun start()
 
-    /** Makes [call] on the store; [reply] is called exactly once, with the result. */
-    public fun store(call: StoreCall, reply: (StoreReply) -> Unit)
+    /** Makes [call] on the store; [reply] is called exactly once, with the result, unless the call is cancelled. */
+    public fun store(call: StoreCall, reply: (StoreReply) -> Unit): CancellableCall
 
     /** Sends [order] to the upstream at [address]. The upstream's report, if any, is submitted as an event. */
     public fun grant(address: Address, order: GrantOrder)
