--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -240,10 +240,10 @@
  * @property watchersPerZone VMs per availability zone that watch declarations, registrations and duties in the store.
  * @property recordWatchersPerZone VMs per availability zone that watch ownership records in the store.
  * @property watchWait How long a store watch may wait for changes.
- * @property firstWatcherWait The same on the VM that ranks first among the watchers. It bounds how long all VMs may miss
- * changes that the store has failed to report without any other sign.
+ * @property firstWatcherWait The same on the VM that ranks first among the watchers. It bounds how long all VMs may
+ * miss changes that the store has failed to report without any other sign.
  * @property watchRetry Delay before a failed store read or watch is repeated.
- * @property minWatchRenewalInterval Shortest time from a watch to the one that replaces it after the store's return.
+ * @property minWatchRenewalInterval Shortest time from a watch to the one that replaces it on the store's return.
  * @property watchPause Delay between a watch that returned changes and the next one.
  * @property registrationGrace How long after the store's return an upstream whose registration has lapsed may register
  * again before it is removed.
