Report a declaration whose version can't be read

What operators would see: VMs that stay on an old declaration without a line that says why. A text whose version could not be decoded was dropped without a word; only errors behind the version were reported.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -16,7 +16,10 @@
     /** A declaration took effect on this VM. */
     public data class DeclarationInForce(val version: DeclarationVersion) : StateChange
 
-    /** A declaration was received that can't be parsed; the previous one remains in effect. */
+    /**
+     * A declaration was received that can't be parsed; the previous one remains in effect. [version] is
+     * [DeclarationVersion.NONE] where not even the version could be read.
+     */
     public data class DeclarationUnreadable(val version: DeclarationVersion, val problem: String) : StateChange
 
     /** This VM became the allocator of [pool]. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/configuration/DeclarationHolder.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/configuration/DeclarationHolder.kt
@@ -7,6 +7,7 @@
 import cicadagauge.node.Effects
 import cicadagauge.node.StateChange
 import cicadagauge.peer.PeerMessage
+import cicadagauge.store.CodecError
 import cicadagauge.store.DeclarationCodec
 
 /**
@@ -21,6 +22,7 @@
 ) {
     private var currentEnvelope = ""
     private var latestUnreadable = DeclarationVersion.NONE
+    private var unreadableEnvelope = ""
 
     /** The version in force. */
     var version: DeclarationVersion = DeclarationVersion.NONE
@@ -31,14 +33,23 @@
         private set
 
     /** Puts the declaration in [envelope], the text held by the store, into force if it is newer; true if it was. */
-    fun acceptIfNewer(envelope: String, now: Moment): Boolean = codec.open(envelope).fold({ false }) { stored ->
-        stored.version > version && adopt(stored.version, stored.text, envelope, now)
-    }
+    fun acceptIfNewer(envelope: String, now: Moment): Boolean =
+        codec.open(envelope).fold({ rejectEnvelope(envelope, it) }) { stored ->
+            stored.version > version && adopt(stored.version, stored.text, envelope, now)
+        }
 
     /** The message that passes the declaration in force to other VMs, or null before the first. */
     fun updateMessage(): PeerMessage.DeclarationUpdate? =
         if (current == null) null else PeerMessage.DeclarationUpdate(version, currentEnvelope)
 
+    private fun rejectEnvelope(envelope: String, error: CodecError): Boolean {
+        if (envelope != unreadableEnvelope) {
+            unreadableEnvelope = envelope
+            effects.add(Effect.StateChanged(StateChange.DeclarationUnreadable(DeclarationVersion.NONE, error.problem)))
+        }
+        return false
+    }
+
     private fun adopt(newVersion: DeclarationVersion, source: String, envelope: String, now: Moment): Boolean =
         codec.parse(source).fold({ error ->
             if (newVersion > latestUnreadable) {
