--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/configuration/StoreOutageTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/configuration/StoreOutageTest.kt
@@ -1,17 +1,22 @@
 package cicadagauge.bench.configuration
 
 import cicadagauge.bench.ownership.FakeRequestHead
+import cicadagauge.bench.virtual.FleetObserver
 import cicadagauge.bench.virtual.FleetSettings
 import cicadagauge.bench.virtual.RequestResult
 import cicadagauge.bench.virtual.VirtualFleet
+import cicadagauge.bench.virtual.VirtualVm
 import cicadagauge.declaration.Declaration
 import cicadagauge.identity.RouteName
+import cicadagauge.identity.VmId
+import cicadagauge.node.StateChange
 import cicadagauge.outcome.Reason
 import cicadagauge.standins.KnownFailure
 import cicadagauge.standins.deployment.DeploymentShape
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import java.util.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
@@ -68,8 +73,40 @@
             }
             withClue("VMs that answer 404") { unaware shouldBe emptyList() }
         }
+        for (seed in 1L..(System.getProperty(SEEDS_PROPERTY)?.toLong() ?: SEEDS_IN_CI)) {
+            test("every change is in force in time through outages that begin and end at random moments: seed $seed") {
+                val versions = HashMap<VmId, Long>()
+                val observer = object : FleetObserver {
+                    override fun onStateChange(fleet: VirtualFleet, vm: VirtualVm, change: StateChange) {
+                        if (change is StateChange.DeclarationInForce) versions[vm.id] = change.version.value
+                    }
+                }
+                val random = Random(seed)
+                val fleet = VirtualFleet(FleetSettings(SHAPE, seed = seed), observer).start()
+                fleet.time.advanceBy(5.seconds)
+                for (round in 1..5) {
+                    fleet.applyDeclaration(fleet.declaration, version = round * 10L)
+                    fleet.time.advanceBy(random.nextInt(3_000).microseconds)
+                    fleet.store.isDown = true
+                    if (random.nextBoolean()) fleet.store.model.dropWatches()
+                    fleet.time.advanceBy(random.nextInt(if (random.nextBoolean()) 100 else 6_000).milliseconds)
+                    fleet.store.isDown = false
+                    fleet.time.advanceBy(random.nextInt(1_000).milliseconds)
+                    fleet.applyDeclaration(fleet.declaration, version = round * 10L + 1)
+                    fleet.time.advanceBy(MAX_APPLY_TIME)
+                    withClue("round $round: versions in force") {
+                        fleet.vms.associate { it.id to versions[it.id] }.filterValues { it != round * 10L + 1 } shouldBe
+                            emptyMap()
+                    }
+                }
+            }
+        }
     }) {
     private companion object {
+        /** System property with the number of seeds to run. */
+        const val SEEDS_PROPERTY = "cicadagauge.outage.seeds"
+        const val SEEDS_IN_CI = 4L
+
         val SHAPE = DeploymentShape.HOSHIZORA
 
         /** The time within which an accepted declaration is to be in force on all VMs once the store has returned. */
