Let requests wait for a coordinator's late answer instead of refusing them

What callers saw: a customer far below its rate got 429 rate-exceeded.

Cause, from a trace of every refusal: a round trip longer than answerTimeout (50 ms). Behind it: the coordinator is then suspected and the next VM asked, which has no waivers and answers with 0 tokens, taken for a used-up rate; the late answer is ignored as one to an earlier sequence, with its tokens, and yet refuses what waits.

Change: a request waits for at most half of the time until its deadline. Answers count whenever they come, once, their tokens living from the request on. The timeout of an answer follows the round trips (RFC 6298) and only decides when another VM is asked. A coordinator that has had portions for less than a waiver's time says so (`settling`), and its lack of tokens refuses nobody. Refused at once are: everything that waits when a settled coordinator has lent all; and what the own portion can't serve in time while nobody lends. Nothing is waived to a coordinator whose round trip outlasts a loan.

Why the bound holds: the coordinator takes a token from its bucket when it lends it, at most once a request, and sets aside what accrues in a loan's lifetime; the borrower uses it at most that long after its request, which precedes the lending. When the answer comes doesn't enter. A late release counts only if it answers the last request.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -103,6 +103,8 @@
      *
      * @property stamp the coordinator's clock reading.
      * @property released whether the coordinator has dropped every waiver of the receiver and lends nothing more.
+     * @property settling whether the coordinator has had portions to lend for so short a time, or has none, that a lack
+     * of tokens doesn't mean that the rate is used up.
      */
     @Serializable
     @SerialName("BudgetReply")
@@ -112,6 +114,7 @@
         val stamp: Moment,
         val tokens: Int,
         val released: Boolean = false,
+        val settling: Boolean = false,
     ) : PeerMessage
 
     /**
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/outcomes/RateLimitRun.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/outcomes/RateLimitRun.kt
@@ -7,11 +7,13 @@
 import cicadagauge.bench.virtual.RequestResult
 import cicadagauge.bench.virtual.VirtualFleet
 import cicadagauge.bench.virtual.VirtualUpstream
+import cicadagauge.bench.virtual.VirtualVm
 import cicadagauge.declaration.RequestClass
 import cicadagauge.node.DispatchSettings
 import cicadagauge.node.Effect
 import cicadagauge.node.HomePolicy
 import cicadagauge.node.NodeSettings
+import cicadagauge.peer.PeerMessage
 import cicadagauge.standins.deployment.DeploymentShape
 import cicadagauge.standins.deployment.PoolShape
 import cicadagauge.standins.deployment.Traffic
@@ -26,18 +28,28 @@
  * The requests of one customer.
  *
  * @property overdraft the number of requests by which rate x time + burst was exceeded in the worst window
+ * @property tokenRequests the number of requests for tokens that VMs sent each other
  */
-data class RateFigures(val offered: Int, val admitted: Int, val refused: Int, val overdraft: Double)
+data class RateFigures(
+    val offered: Int,
+    val admitted: Int,
+    val refused: Int,
+    val overdraft: Double,
+    val tokenRequests: Int,
+)
 
 /**
  * Simulates one customer that sends [load] times its permitted rate, spread unevenly over the VMs, and checks the rate
- * limit. With [faults], VMs are paused, replaced and partitioned from their peers at the same time.
+ * limit. With [faults], VMs are paused, replaced and partitioned from their peers at the same time. [network] is that
+ * between the VMs. Requests begin after [settleTime], by which each VM should have claimed its seat.
  */
 class RateLimitRun(
     private val load: Double,
     private val seed: Long,
     private val faults: Boolean,
     private val length: Duration = 60.seconds,
+    private val network: NetworkConditions = if (faults) FAULTY_NETWORK else CALM_NETWORK,
+    private val settleTime: Duration = SETTLE_TIME,
 ) : FleetObserver {
     private val random = Random(seed)
     private val shape = DeploymentShape(
@@ -56,6 +68,7 @@
     private var offered = 0
     private var admitted = 0
     private var refused = 0
+    private var tokenRequests = 0
     private var measuring = false
 
     override fun onRequestStarted(fleet: VirtualFleet, upstream: VirtualUpstream, request: Effect.Forward) {
@@ -66,33 +79,29 @@
         if (measuring) admitted++
     }
 
+    override fun onPeerMessage(fleet: VirtualFleet, vm: VirtualVm, message: PeerMessage) {
+        if (measuring && message is PeerMessage.BudgetRequest) tokenRequests++
+    }
+
     /** Runs the simulation. */
     fun run(): RateFigures {
         val dispatch =
             DispatchSettings(homes = HomePolicy.Local, customerQueueLimit = AMPLE_LIMIT, poolQueueLimit = AMPLE_LIMIT)
-        val network = NetworkConditions(
-            sameZoneDelay = 0.5.milliseconds,
-            crossZoneDelay = 1.milliseconds,
-            lossProbability = if (faults) 0.02 else 0.0,
-            duplicationProbability = if (faults) 0.02 else 0.0,
-            extraDelayProbability = if (faults) 0.02 else 0.0,
-            connectionDelay = Duration.ZERO,
-        )
         val settings = FleetSettings(
             shape = shape,
             seed = seed,
-            network = network,
+            network = network.copy(connectionDelay = Duration.ZERO),
             coldTime = Duration.ZERO,
             serviceTime = 1.microseconds,
             nodeSettings = { vm, zone -> NodeSettings(vm, zone, dispatch = dispatch) },
         )
         val fleet = VirtualFleet(settings, this).start()
-        fleet.time.advanceBy(SETTLE_TIME)
+        fleet.time.advanceBy(settleTime)
         measuring = true
         sendNext(fleet, fleet.time.now + length.inWholeNanoseconds)
         if (faults) injectFaults(fleet)
         fleet.time.advanceBy(length)
-        return RateFigures(offered, admitted, refused, overdraft)
+        return RateFigures(offered, admitted, refused, overdraft, tokenRequests)
     }
 
     /** Sends requests until [until] as a Poisson process. Half of them go to the first third of the VMs. */
@@ -146,5 +155,11 @@
         const val FAULT_KINDS = 3
         const val BUSY_VM_DIVISOR = 3
         val SETTLE_TIME = 8.seconds
+        val CALM_NETWORK = NetworkConditions(sameZoneDelay = 0.5.milliseconds, crossZoneDelay = 1.milliseconds)
+        val FAULTY_NETWORK = CALM_NETWORK.copy(
+            lossProbability = 0.02,
+            duplicationProbability = 0.02,
+            extraDelayProbability = 0.02,
+        )
     }
 }
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -64,6 +64,7 @@
                 PeerMessage.BudgetRequest(CustomerName("t"), 5, Moment(12), 2.seconds, 3),
                 PeerMessage.BudgetRequest(CustomerName("t"), 5, null, 2.seconds, 3),
                 PeerMessage.BudgetReply(CustomerName("t"), 5, Moment(12), 3),
+                PeerMessage.BudgetReply(CustomerName("t"), 5, Moment(12), 0, released = true, settling = true),
                 PeerMessage.Reserve(
                     pool,
                     RequestId(9),
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/BudgetCoordinator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/BudgetCoordinator.kt
@@ -15,6 +15,7 @@
 internal class BudgetCoordinator(private var portion: Portion, private val settings: BudgetSettings, now: Moment) {
     private val waivers = HashMap<VmId, Waiver>()
     private val bucket = TokenBucket(rate = 0.0, capacity = 0.0, since = now)
+    private var lendsSince = Moment.FUTURE
 
     /**
      * Renews [vm]'s waiver, or ends it where [request] says that [vm] leaves, and returns the number of tokens lent to
@@ -34,6 +35,12 @@
         return if (request.leave) 0 else bucket.take(request.demand, now)
     }
 
+    /**
+     * Whether portions have been waived to this VM for so short a time that a lack of tokens doesn't mean that the rate
+     * is used up.
+     */
+    fun isSettling(now: Moment): Boolean = now < lendsSince + settings.waiver
+
     /** Ends all waivers at [now], so that nothing more is lent from them. */
     fun dropWaivers(now: Moment) {
         waivers.values.forEach { it.until = minOf(it.until, now) }
@@ -49,6 +56,7 @@
     private fun resizeBucket(now: Moment) {
         waivers.values.removeIf { it.until + settings.idleWaiver <= now }
         val count = waivers.values.count { it.until > now }
+        lendsSince = if (count == 0) Moment.FUTURE else minOf(lendsSince, now)
         bucket.resize(portion.ratePerSecond * count, portion.maxLendableTokens(settings.maxLoanLifetime) * count, now)
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
@@ -12,11 +12,15 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Admits one customer's requests on one VM. [usableFrom] returns when this VM's entitlement to a portion begins. */
+/**
+ * Admits one customer's requests on one VM. [usableFrom] returns when this VM's entitlement to a portion begins;
+ * [roundTrips] is shared by all customers.
+ */
 internal class CustomerBudget(
     private val customer: CustomerName,
     private var portion: Portion,
     private val settings: BudgetSettings,
+    private val roundTrips: RoundTripTimes,
     private val usableFrom: () -> Moment,
     start: Moment,
 ) {
@@ -28,17 +32,21 @@
     private var ownUsableFrom = start
     private var isSeatUsable = false
     private var coordinator: VmId? = null
-    private var stamp: Stamp? = null
+    private val stamps = HashMap<VmId, Stamp>()
+    private val sent = LinkedHashMap<Long, SentRequest>()
     private val loans = ArrayDeque<Loan>()
     private val demand = DemandMeter(start)
     private var sequence = start.nanos
     private var sentAt = Moment.PAST
+    private var answerDue = Moment.PAST
     private var isAnswered = true
-    private var coordinatorEmptyUntil = Moment.PAST
-    private var requestedTokens = 0
+    private var isSilent = false
+    private var isSettling = false
+    private var quietUntil = Moment.PAST
+    private var emptyUntil = Moment.PAST
 
-    /** Whether the coordinator's last reply lent fewer tokens than were requested. */
-    var isShort = false
+    /** Whether the reply to the last request says that the rate is used up. */
+    var isUsedUp = false
         private set
 
     /** Counts one arriving request for the estimate of demand. */
@@ -51,30 +59,51 @@
             loan.tokens--
             return true
         }
-        return now >= ownUsableFrom && hasUsableSeat(now) && ownBucket.take(1, now) == 1
+        return isOwnUsable(now) && ownBucket.take(1, now) == 1
+    }
+
+    /**
+     * Why the request at [position] of those that wait at [now] can't expect a token until [giveUpAt]; null if it may
+     * wait. While this VM's portion is waived, a late answer of the coordinator may still bring one.
+     */
+    fun shortageAt(position: Int, giveUpAt: Moment, now: Moment): Shortage? = when {
+        now < emptyUntil -> Shortage.RateUsedUp
+        mayBorrow() || !isOwnUsable(now) -> null
+        ownBucket.timeUntil(position, now) <= giveUpAt - now -> null
+        else -> Shortage.PortionUsedUp
+    }
+
+    /** Why a request has waited in vain until [now]. */
+    fun shortage(now: Moment): Shortage = when {
+        isOwnUsable(now) -> Shortage.PortionUsedUp
+        isSilent || !isAnswered -> Shortage.AnswerLate
+        else -> Shortage.NoPortion
     }
 
-    /** Whether a request that found no token at [now] may wait for the coordinator's reply. */
-    fun canWait(now: Moment): Boolean =
-        coordinator != null && now >= coordinatorEmptyUntil && (isAnswered || now < answerDue())
+    /** Whether the reply to request [number], the last one, is overdue at [now]. */
+    fun isOverdue(number: Long, now: Moment): Boolean = number == sequence && !isAnswered && now >= answerDue
 
-    /** Whether the coordinator's reply is overdue at [now]. */
-    fun isOverdue(now: Moment): Boolean = !isAnswered && now >= answerDue()
+    /** Nothing is expected from the coordinator any more until a VM answers. */
+    fun answerMissed() {
+        isSilent = true
+    }
 
     /** Whether the next request can waive this VM's portion to the coordinator, so that its reply may bring tokens. */
-    fun canStartWaiver(now: Moment): Boolean =
-        isAnswered && (coordinator == null || (waivedTo != coordinator && hasUsableSeat(now) && now >= ownUsableFrom))
+    fun canStartWaiver(now: Moment): Boolean {
+        val vm = coordinator ?: return isAnswered
+        return isAnswered && waivedTo != vm && isOwnUsable(now) && usableLoanLifetime(vm) > Duration.ZERO
+    }
 
     /** When the coordinator's reply to the last request becomes overdue. */
-    fun answerDue(): Moment = sentAt + settings.answerTimeout
+    fun answerDue(): Moment = answerDue
 
     /** Whether to request tokens at [now], while [waiting] requests wait for one. */
     fun isRequestDue(waiting: Int, now: Moment): Boolean {
-        if (!isAnswered && now < answerDue()) return false
+        if (!isAnswered && now < answerDue) return false
         val isSettled = demand.isIdle && waivedTo == coordinator
         if (now >= sentAt + if (isSettled) settings.idleRequestInterval else settings.requestInterval) return true
-        if (now < coordinatorEmptyUntil) return false
-        return waiting > 0 || availableTokens(now) < targetTokens() / 2
+        if (now < quietUntil) return false
+        return waiting > 0 || availableTokens(now) < (coordinator?.let(::targetTokens) ?: 0) / 2
     }
 
     /**
@@ -82,38 +111,61 @@
      * With [leave] it ends the waiver instead.
      */
     fun nextRequest(vm: VmId, waiting: Int, leave: Boolean, now: Moment): PeerMessage.BudgetRequest {
-        if (vm != coordinator) switchCoordinator(vm)
+        coordinator = vm
+        stamps.keys.removeIf { it != vm && it != waivedTo }
+        sent.values.removeIf { it.at + settings.idleWaiver <= now }
         demand.closeWindow(settings.requestInterval / 2, now)
         val waiver = if (demand.isIdle && waiting == 0) settings.idleWaiver else settings.waiver
         val waived = if (leave) null else waiverFor(vm, waiver, now)
         sequence++
         sentAt = now
+        answerDue = now + roundTrips.answerTimeout(vm)
         isAnswered = false
-        val wanted = targetTokens() + waiting - availableTokens(now)
-        requestedTokens = maxOf(0, wanted)
-        return PeerMessage.BudgetRequest(customer, sequence, waived, waiver, requestedTokens, leave)
+        isUsedUp = false
+        val mayUseLoan = usableLoanLifetime(vm) > Duration.ZERO
+        val wanted = if (mayUseLoan) targetTokens(vm) + waiting - availableTokens(now) else 0
+        val request = PeerMessage.BudgetRequest(customer, sequence, waived, waiver, maxOf(0, wanted), leave)
+        sent[sequence] = SentRequest(vm, now, request.demand)
+        return request
     }
 
-    /** Handles a coordinator's reply; one to an earlier request, or from another VM, is ignored. */
-    fun handleReply(from: VmId, reply: PeerMessage.BudgetReply, now: Moment) {
-        if (from != coordinator || reply.sequence != sequence || isAnswered) return
+    /**
+     * Handles a coordinator's reply, and returns false for one that was handled before. A late reply counts too, since
+     * its loan lives from the request on, but only that to the last request tells the present state.
+     */
+    fun handleReply(from: VmId, reply: PeerMessage.BudgetReply, now: Moment): Boolean {
+        val request = sent[reply.sequence]?.takeIf { it.to == from } ?: return false
+        sent -= reply.sequence
+        roundTrips.record(from, now - request.at)
+        addLoan(reply.tokens, until = request.at + portion.loanLifetime(settings.maxLoanLifetime), now = now)
+        if (!reply.released) adoptStamp(from, Stamp(reply.stamp, now))
+        if (reply.sequence != sequence) return true
         isAnswered = true
-        if (reply.released) return waiverReleased(from, now)
-        stamp = Stamp(reply.stamp, now)
-        isShort = reply.tokens < requestedTokens
-        if (reply.tokens == 0 && isShort && !canStartWaiver(now)) {
-            coordinatorEmptyUntil = now + settings.emptyPause
-            return
+        isSilent = false
+        if (reply.released) {
+            waiverReleased(from, now)
+            return true
         }
-        val until = sentAt + portion.loanLifetime(settings.maxLoanLifetime)
-        if (reply.tokens > 0 && now < until) loans.addLast(Loan(reply.tokens, until))
+        isSettling = reply.settling
+        val startsWaiver = canStartWaiver(now)
+        isUsedUp = reply.tokens < request.demand && !isSettling && !startsWaiver
+        if (isUsedUp && reply.tokens == 0) emptyUntil = now + settings.emptyPause
+        quietUntil = if (mayBorrow() || startsWaiver) emptyUntil else now + settings.requestInterval / 2
+        return true
     }
 
     /** Discards all borrowed tokens. */
     fun dropLoans(): Unit = loans.clear()
 
-    /** How long the caller of a refused request should wait before a retry. */
-    fun retryAfter(): Duration = settings.requestInterval
+    /** How long the caller of the request at [position] should wait before a retry, if it is refused at [now]. */
+    fun retryAfter(shortage: Shortage, position: Int, now: Moment): Duration {
+        val wait = when (shortage) {
+            Shortage.RateUsedUp, Shortage.QueueFull -> Duration.ZERO
+            Shortage.AnswerLate, Shortage.NoPortion -> minOf(ownUsableFrom - now, settings.idleWaiver)
+            Shortage.PortionUsedUp -> minOf(ownBucket.timeUntil(position, now), settings.idleWaiver)
+        }
+        return maxOf(wait, settings.requestInterval)
+    }
 
     /** Sets the size of this VM's portion from [now] on. */
     fun updatePortion(newPortion: Portion, now: Moment) {
@@ -126,8 +178,9 @@
      * coordinator's clock from which the waiver counts, or null where nothing is waived.
      */
     private fun waiverFor(vm: VmId, waiver: Duration, now: Moment): Moment? {
-        val latestStamp = stamp ?: return null
+        val latestStamp = stamps[vm] ?: return null
         if (!hasUsableSeat(now) || (waivedTo != vm && now < ownUsableFrom)) return null
+        if (usableLoanLifetime(vm) <= Duration.ZERO) return null
         waivedTo = vm
         ownUsableFrom = maxOf(ownUsableFrom, latestStamp.receivedAt + waiverBound(waiver))
         ownBucket.empty(from = ownUsableFrom)
@@ -136,18 +189,37 @@
 
     /** Takes back the portion, since coordinator [vm] has given up this VM's waiver; its bucket starts empty. */
     fun waiverReleased(vm: VmId, now: Moment) {
-        if (coordinator == vm) switchCoordinator(null)
+        if (coordinator == vm) coordinator = null
+        stamps -= vm
         if (waivedTo != vm) return
         waivedTo = null
         ownUsableFrom = minOf(ownUsableFrom, now)
         ownBucket.empty(from = now)
     }
 
-    private fun switchCoordinator(vm: VmId?) {
-        coordinator = vm
-        stamp = null
+    /** Keeps the latest reading of [vm]'s clock; replies may overtake each other. */
+    private fun adoptStamp(vm: VmId, stamp: Stamp) {
+        val known = stamps[vm]
+        if (known == null || known.reading < stamp.reading) stamps[vm] = stamp
+    }
+
+    private fun addLoan(tokens: Int, until: Moment, now: Moment) {
+        if (tokens <= 0 || now >= until) return
+        loans.add(loans.indexOfLast { it.until <= until } + 1, Loan(tokens, until))
     }
 
+    /** Whether the coordinator can be expected to lend tokens. */
+    private fun mayBorrow(): Boolean {
+        val isNear = coordinator?.let { usableLoanLifetime(it) > Duration.ZERO } ?: true
+        return !isSilent && !isSettling && isNear
+    }
+
+    private fun isOwnUsable(now: Moment): Boolean = now >= ownUsableFrom && hasUsableSeat(now)
+
+    /** How long a loan of [vm] can be used here, given that its lifetime begins with the request for it. */
+    private fun usableLoanLifetime(vm: VmId): Duration =
+        portion.loanLifetime(settings.maxLoanLifetime) - roundTrips.smoothed(vm)
+
     private fun hasUsableSeat(now: Moment): Boolean {
         if (!isSeatUsable && now >= usableFrom()) {
             isSeatUsable = true
@@ -168,11 +240,11 @@
     }
 
     /**
-     * How many borrowed tokens to aim for: those that will be used before they expire. A borrowed token that expires is
-     * lost to all VMs, so for a customer with few requests here, tokens are requested one by one.
+     * How many tokens borrowed from [vm] to aim for: those that will be used before they expire. A borrowed token that
+     * expires is lost to all VMs, so for a customer with few requests here, tokens are requested one by one.
      */
-    private fun targetTokens(): Int =
-        demand.expectedArrivals(portion.loanLifetime(settings.maxLoanLifetime) * LOAN_USE_FRACTION).toInt()
+    private fun targetTokens(vm: VmId): Int =
+        demand.expectedArrivals(usableLoanLifetime(vm) * LOAN_USE_FRACTION).toInt()
 
     private fun availableTokens(now: Moment): Int = loans.sumOf { if (now < it.until) it.tokens else 0 }
 
@@ -183,6 +255,9 @@
 
     private class Loan(var tokens: Int, val until: Moment)
 
+    /** A request for [demand] tokens that was sent [to] a coordinator [at] a moment, and is not answered yet. */
+    private class SentRequest(val to: VmId, val at: Moment, val demand: Int)
+
     /** A [reading] of the coordinator's clock, and when it was received by this VM's clock. */
     private class Stamp(val reading: Moment, val receivedAt: Moment)
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudgets.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudgets.kt
@@ -27,6 +27,7 @@
 ) {
     private val accounts = HashMap<CustomerName, Account>()
     private val coordinators = HashMap<CustomerName, BudgetCoordinator>()
+    private val roundTrips = RoundTripTimes(settings)
     private var stopping = false
     private var portions: Map<CustomerName, Portion> = emptyMap()
     private var customers: List<Customer> = emptyList()
@@ -35,7 +36,7 @@
     interface AdmissionListener {
         fun admitted(now: Moment)
 
-        fun refused(retryAfter: Duration, now: Moment)
+        fun refused(shortage: Shortage, retryAfter: Duration, now: Moment)
     }
 
     /** Applies the customers of [declaration]; waiting requests of customers no longer limited are refused. */
@@ -48,7 +49,7 @@
     fun divideRates(now: Moment) {
         portions = customers.associate { it.name to Portion.of(it, seats.count, settings.clockDrift) }
         val removed = accounts.keys - portions.keys
-        removed.forEach { name -> accounts.remove(name)?.refuseAll(now) }
+        removed.forEach { name -> accounts.remove(name)?.refuseAll(Shortage.NoPortion, now) }
         coordinators.keys.retainAll(portions.keys)
         for ((name, portion) in portions) {
             coordinators[name]?.updatePortion(portion, now)
@@ -57,14 +58,18 @@
         requestDueTokens(now)
     }
 
-    /** Admits or refuses one request of [customer], or queues it until the coordinator replies. */
-    fun admit(customer: CustomerName, listener: AdmissionListener, now: Moment) {
+    /**
+     * Admits or refuses one request of [customer], or queues it until there is a token, but not for so long that it
+     * could not be served before its [deadline].
+     */
+    fun admit(customer: CustomerName, deadline: Moment, listener: AdmissionListener, now: Moment) {
         val account = accounts.getValue(customer)
         account.budget.recordArrival()
         if (account.waiting.isEmpty() && account.budget.tryTake(now)) return listener.admitted(now)
-        val canWait = account.budget.canWait(now) && account.waiting.size < settings.maxWaitingPerCustomer
-        if (!canWait) return listener.refused(account.budget.retryAfter(), now)
-        account.waiting.addLast(listener)
+        val giveUpAt = now + (deadline - now) * MAX_WAIT_FRACTION
+        val shortage = account.shortageFor(giveUpAt, now)
+        if (shortage != null) return account.refuse(listener, shortage, now)
+        account.await(listener, giveUpAt)
         requestTokens(account, now)
     }
 
@@ -76,22 +81,29 @@
         }
         val coordinator = coordinators.getOrPut(request.customer) { BudgetCoordinator(portion, settings, now) }
         val tokens = coordinator.answer(from, request, now) ?: return null
-        return PeerMessage.BudgetReply(request.customer, request.sequence, now, tokens, released = request.leave)
+        val settling = coordinator.isSettling(now)
+        return PeerMessage.BudgetReply(request.customer, request.sequence, now, tokens, request.leave, settling)
     }
 
     /** Handles a coordinator's reply and decides about the requests that waited for it. */
     fun handleReply(from: VmId, reply: PeerMessage.BudgetReply, now: Moment) {
         val account = accounts[reply.customer] ?: return
-        account.budget.handleReply(from, reply, now)
+        if (!account.budget.handleReply(from, reply, now)) return
         account.admitWaiting(now)
-        // Requests that arrived after tokens were requested are not covered by this reply.
-        val asksAgain = account.waiting.isNotEmpty() && (account.budget.canStartWaiver(now) || !account.budget.isShort)
-        if (asksAgain) requestTokens(account, now) else account.refuseAll(now)
+        when {
+            account.waiting.isEmpty() -> Unit
+            account.budget.isUsedUp -> account.refuseAll(Shortage.RateUsedUp, now)
+            // Requests that arrived after tokens were requested are not covered by this reply.
+            else -> requestTokens(account, now)
+        }
     }
 
-    /** Requests tokens for every customer for which a request is due. */
-    fun requestDueTokens(now: Moment) {
-        for (account in accounts.values) requestTokens(account, now)
+    /** Admits the waiting requests that have a token by now, and requests tokens for every customer where it is due. */
+    private fun requestDueTokens(now: Moment) {
+        for (account in accounts.values) {
+            account.admitWaiting(now)
+            requestTokens(account, now)
+        }
     }
 
     /** Drops borrowed tokens and the waivers made to this VM, since its clock may have stopped meanwhile. */
@@ -114,6 +126,7 @@
 
     /** Starts the periodic check for due requests. */
     fun start(now: Moment) {
+        roundTrips.retain(vms::isListed)
         requestDueTokens(now)
         timers.at(now + settings.requestInterval / 2, ::start)
     }
@@ -127,10 +140,20 @@
             answerRequest(vms.self, request, now)?.let { handleReply(vms.self, it, now) }
         } else {
             vms.send(coordinator, request)
-            timers.at(account.budget.answerDue()) { account.expire(coordinator.id, it) }
+            timers.at(account.budget.answerDue()) { answerDue(account, coordinator.id, request.sequence, it) }
         }
     }
 
+    /** If the reply of [coordinator] to request [sequence] is missing, suspects that VM and asks another one. */
+    private fun answerDue(account: Account, coordinator: VmId, sequence: Long, now: Moment) {
+        if (!account.budget.isOverdue(sequence, now)) return
+        vms.suspect(coordinator, until = now + settings.coordinatorSuspicion)
+        account.budget.answerMissed()
+        account.admitWaiting(now)
+        account.refuseHopeless(now)
+        if (account.waiting.isNotEmpty()) requestTokens(account, now)
+    }
+
     /**
      * The VM to send the next request to: the responsible one, or a former coordinator that is reachable and still has
      * the portion, to end the waiver there.
@@ -142,25 +165,64 @@
     }
 
     private inner class Account(val customer: CustomerName, portion: Portion) {
-        val budget = CustomerBudget(customer, portion, settings, seats::usableFrom, start)
-        val waiting = ArrayDeque<AdmissionListener>()
+        val budget = CustomerBudget(customer, portion, settings, roundTrips, seats::usableFrom, start)
+        val waiting = ArrayDeque<WaitingRequest>()
         val duty = "budget/$customer"
+        private var nextGiveUp = Moment.FUTURE
 
         /** Admits as many waiting requests as there are tokens for. */
         fun admitWaiting(now: Moment) {
-            while (waiting.isNotEmpty() && budget.tryTake(now)) waiting.removeFirst().admitted(now)
+            while (waiting.isNotEmpty() && budget.tryTake(now)) waiting.removeFirst().listener.admitted(now)
         }
 
-        /** If the reply of [coordinator] is overdue, suspects that VM and refuses the requests that find no token. */
-        fun expire(coordinator: VmId, now: Moment) {
-            if (!budget.isOverdue(now)) return
-            vms.suspect(coordinator, until = now + settings.coordinatorSuspicion)
-            admitWaiting(now)
-            refuseAll(now)
+        /** Why a request that arrives at [now] can't wait until [giveUpAt]; null if it may. */
+        fun shortageFor(giveUpAt: Moment, now: Moment): Shortage? {
+            if (waiting.size >= settings.maxWaitingPerCustomer) return Shortage.QueueFull
+            return budget.shortageAt(waiting.size + 1, giveUpAt, now)
         }
 
-        fun refuseAll(now: Moment) {
-            while (waiting.isNotEmpty()) waiting.removeFirst().refused(budget.retryAfter(), now)
+        fun await(listener: AdmissionListener, giveUpAt: Moment) {
+            waiting.addLast(WaitingRequest(listener, giveUpAt))
+            scheduleGiveUp(giveUpAt)
         }
+
+        /** Refuses the last of the waiting requests, as long as no token can be expected for them in time. */
+        fun refuseHopeless(now: Moment) {
+            while (waiting.isNotEmpty()) {
+                val shortage = budget.shortageAt(waiting.size, waiting.last().giveUpAt, now) ?: return
+                refuse(waiting.removeLast().listener, shortage, now)
+            }
+        }
+
+        fun refuseAll(shortage: Shortage, now: Moment) {
+            while (waiting.isNotEmpty()) refuse(waiting.removeFirst().listener, shortage, now)
+        }
+
+        fun refuse(listener: AdmissionListener, shortage: Shortage, now: Moment): Unit =
+            listener.refused(shortage, budget.retryAfter(shortage, waiting.size + 1, now), now)
+
+        private fun scheduleGiveUp(moment: Moment) {
+            if (moment >= nextGiveUp) return
+            nextGiveUp = moment
+            timers.at(moment) { if (nextGiveUp == moment) giveUp(it) }
+        }
+
+        /** Refuses the requests that have waited for as long as they may. */
+        private fun giveUp(now: Moment) {
+            nextGiveUp = Moment.FUTURE
+            admitWaiting(now)
+            val (expired, others) = waiting.partition { it.giveUpAt <= now }
+            waiting.clear()
+            waiting += others
+            expired.forEach { refuse(it.listener, budget.shortage(now), now) }
+            others.minOfOrNull { it.giveUpAt }?.let(::scheduleGiveUp)
+        }
+    }
+
+    private class WaitingRequest(val listener: AdmissionListener, val giveUpAt: Moment)
+
+    private companion object {
+        /** The part of the time until its deadline for which a request may wait for a token. */
+        const val MAX_WAIT_FRACTION = 0.5
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
@@ -76,7 +76,7 @@
             zoneSelector = dispatcher.homeDirectory.zoneSelectorFor(match.pool),
         )
         if (customer == null || !customer.isLimited) return dispatcher.accept(request, now)
-        budgets.admit(customer.name, Decision(request), now)
+        budgets.admit(customer.name, request.deadline, Decision(request), now)
     }
 
     private fun refusalFor(
@@ -116,8 +116,8 @@
     private inner class Decision(private val request: PendingRequest) : CustomerBudgets.AdmissionListener {
         override fun admitted(now: Moment): Unit = dispatcher.accept(request, now)
 
-        override fun refused(retryAfter: Duration, now: Moment) {
-            val refusal = Refusal(Reason.RateExceeded, "the customer's rate is used up", retryAfter)
+        override fun refused(shortage: Shortage, retryAfter: Duration, now: Moment) {
+            val refusal = Refusal(Reason.RateExceeded, shortage.detail, retryAfter)
             effects.add(Effect.Refuse(request.id, refusal))
         }
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TokenBucket.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/TokenBucket.kt
@@ -41,11 +41,15 @@
         since = from
     }
 
-    /** The time from [now] until one whole token is available; zero where there is one, or where none accrue. */
-    fun timeUntilNextToken(now: Moment): Duration {
+    /** The time from [now] until [tokens] whole tokens have accrued, even if the bucket can't hold as many at once. */
+    fun timeUntil(tokens: Int, now: Moment): Duration {
         accrue(now)
-        val missing = 1.0 - level
-        return if (missing <= 0.0 || rate <= 0.0) Duration.ZERO else (missing / rate).seconds
+        val missing = tokens - level
+        return when {
+            missing <= 0.0 -> Duration.ZERO
+            rate <= 0.0 -> Duration.INFINITE
+            else -> (missing / rate).seconds
+        }
     }
 
     private fun accrue(now: Moment) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -127,7 +127,8 @@
  * @property idleRequestInterval Like [requestInterval], for a customer without recent requests whose portion the
  * coordinator has.
  * @property maxLoanLifetime Longest lifetime of lent tokens.
- * @property answerTimeout Time after which the coordinator's answer counts as missing.
+ * @property answerTimeout Shortest time after which the coordinator's answer counts as missing; it is longer where
+ * round trips take longer.
  * @property emptyPause How long, after a reply without tokens, arriving requests are refused instead of waiting for the
  * coordinator.
  * @property coordinatorSuspicion How long a coordinator that did not answer ranks last.
