Don't use tokens that were on their way while the clock may have stopped

What was seen: nothing by callers; found while reading how long a loan lives. A VM that was suspended drops its loans, because its clock may have stood still, but a reply that came afterwards still brought tokens, with a lifetime counted on that clock from a request before the suspension. They could be used longer than the coordinator has set aside for, so that the customer's rate and burst could be exceeded.

Change: the requests that are not answered yet are forgotten as well, and a reply to them is ignored.

Evidence: the new case of CustomerBudgetTest failed before (2 tokens taken instead of 0), and passes now.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
@@ -154,8 +154,12 @@
         return true
     }
 
-    /** Discards all borrowed tokens. */
-    fun dropLoans(): Unit = loans.clear()
+    /** Discards all borrowed tokens, and those that are on their way. */
+    fun dropLoans() {
+        loans.clear()
+        sent.clear()
+        isAnswered = true
+    }
 
     /** How long the caller of the request at [position] should wait before a retry, if it is refused at [now]. */
     fun retryAfter(shortage: Shortage, position: Int, now: Moment): Duration {
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/admission/CustomerBudgetTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/admission/CustomerBudgetTest.kt
@@ -71,6 +71,15 @@
             }
         }
 
+        test("tokens that were on their way while the clock may have stopped are not used") {
+            with(BudgetFixture()) {
+                val first = request(near, at = 0.milliseconds)
+                budget.dropLoans()
+                reply(near, first, at = 20.milliseconds, tokens = 2) shouldBe false
+                takeAll(at = 20.milliseconds) shouldBe 0
+            }
+        }
+
         test("a late release doesn't give back a portion that was waived again") {
             with(BudgetFixture(hasSeat = true)) {
                 reply(near, request(near, at = 0.milliseconds), at = 1.milliseconds)
