Don't let the tokens of a portion accrue twice after its waiver ran out

What was seen: nothing by callers; found while reading the renewal of waivers. A VM whose coordinator is silent uses its own portion once the waiver has run out. Its next request to the same coordinator carried the old clock reading again, so the waiver was over before it began, but the own bucket was emptied as of that past moment, and all tokens since then accrued again, those already used included.

Change: a reading whose waiver would be over already waives nothing; the reply brings a new one. A VM that uses its own portion may start a waiver, also to the coordinator that had the last one.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudget.kt
@@ -91,7 +91,7 @@
     /** Whether the next request can waive this VM's portion to the coordinator, so that its reply may bring tokens. */
     fun canStartWaiver(now: Moment): Boolean {
         val vm = coordinator ?: return isAnswered
-        return isAnswered && waivedTo != vm && isOwnUsable(now) && usableLoanLifetime(vm) > Duration.ZERO
+        return isAnswered && isOwnUsable(now) && usableLoanLifetime(vm) > Duration.ZERO
     }
 
     /** When the coordinator's reply to the last request becomes overdue. */
@@ -185,8 +185,11 @@
         val latestStamp = stamps[vm] ?: return null
         if (!hasUsableSeat(now) || (waivedTo != vm && now < ownUsableFrom)) return null
         if (usableLoanLifetime(vm) <= Duration.ZERO) return null
+        val until = latestStamp.receivedAt + waiverBound(waiver)
+        // A waiver that is over already would let the tokens accrue again that the own portion has given since.
+        if (until <= now) return null
         waivedTo = vm
-        ownUsableFrom = maxOf(ownUsableFrom, latestStamp.receivedAt + waiverBound(waiver))
+        ownUsableFrom = maxOf(ownUsableFrom, until)
         ownBucket.empty(from = ownUsableFrom)
         return latestStamp.reading
     }
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/admission/CustomerBudgetTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/admission/CustomerBudgetTest.kt
@@ -18,7 +18,7 @@
     val near = VmId("near")
     val other = VmId("other")
     private val customer = CustomerName("customer-1")
-    private val portion = Portion(ratePerSecond = 100.0, burst = 100.0)
+    val portion = Portion(ratePerSecond = 100.0, burst = 100.0)
     private val usableFrom = if (hasSeat) Moment.ZERO else Moment.FUTURE
     val budget =
         CustomerBudget(customer, portion, settings, RoundTripTimes(settings), { usableFrom }, Moment.ZERO)
@@ -92,6 +92,18 @@
             }
         }
 
+        test("tokens that the own portion gave after a waiver ran out don't accrue a second time") {
+            with(BudgetFixture(hasSeat = true)) {
+                reply(near, request(near, at = 0.milliseconds), at = 1.milliseconds)
+                request(near, at = 2.milliseconds)
+                val waiverEnd = 1.milliseconds + settings.waiver * (1 + 2 * settings.clockDrift)
+                val taken = takeAll(at = 1_000.milliseconds)
+                request(near, at = 1_001.milliseconds)
+                val accrued = (1_002.milliseconds - waiverEnd) * portion.ratePerSecond
+                taken + takeAll(at = 1_002.milliseconds) shouldBe accrued.inWholeSeconds.toInt()
+            }
+        }
+
         test("no portion is waived to a coordinator whose answers take longer than its loans live") {
             with(BudgetFixture(hasSeat = true)) {
                 val roundTrip = settings.maxLoanLifetime + 10.milliseconds
