Close a connection on which bytes arrive that no request asked for

What was seen: EndlessUpstreamTest, "empty lines after a response", failed beside load: an upstream that answers and then writes empty lines kept its connection, and the VM went on reading. While tracing it a worse case of the same cause was found: a second response that is read together with the first was passed to the next request as its answer, if that request was sent as soon as the first response had ended.

Cause: UpstreamHandler closes an idle connection when the codec hands it a message. Netty's decoder gives none for empty lines and control characters before a response; it skips them, in idle connections and behind the end of a response alike. It complains only when a single read holds more than 4,096 such bytes, so the outcome depended on how many bytes had piled up between two reads: with reads of 1 to 4,096 bytes 10 million bytes left the connection open, a read of 4,097 closed it. "Empty lines without end" instead of a response had the same gap. Moreover, a response ended its attempt, and with that returned its connection, in the middle of a read, while bytes behind it were not decoded yet.

Change: UpstreamResponseDecoder decodes only what a request waits for. Any other byte closes the connection, with the line `unsolicited-bytes` and the counter `cicadagauge_unsolicited_closes_total`; nothing of it is decoded or kept. A complete response ends its attempt when everything that was there to be read has been read, or at the first byte behind it: then the response is still passed on, and the connection is not used again. Bytes that yield no message are bounded over all reads (32 KiB), not in each. Connections are opened through Connector, so that tests can do without sockets.

Evidence: UnsolicitedBytesTest plays the handlers in embedded channels, without sockets or clock. EndlessUpstreamTest is unchanged.

Not covered: a whole second response that arrives only after its connection was returned and before it is read again can't be told from the answer to the next request, other than by what the dialect compares.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -45,7 +45,10 @@
     private val log = EventLog(settings.node.vm, MonotonicClock::now)
     private val loopMonitor = EventLoopMonitor()
     private val metrics = GatewayMetrics { status().pendingRequests }
-    private val connections = UpstreamConnections(loop, settings.upstreams, environment.dialect)
+    private val connections = UpstreamConnections(loop, settings.upstreams, environment.dialect) { address, bytes ->
+        metrics.countUnsolicited()
+        log.write("unsolicited-bytes", "address" to address, "bytes" to bytes)
+    }
     private val registry =
         RequestRegistry(driver, connections, metrics, settings.secret, environment.dialect, log, loopMonitor, loop)
     private val client = JsonHttpClient(loop, JsonHttpClient.authFields(settings.secret, settings.node.vm.value))
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
@@ -31,6 +31,8 @@
         .help("Answers that broke off after a part had gone to the caller").register(registry)
     private val repeats = Counter.builder().name("cicadagauge_repeats_total")
         .help("Attempts after one that has reached an upstream").labelNames("pool").register(registry)
+    private val unsolicited = Counter.builder().name("cicadagauge_unsolicited_closes_total")
+        .help("Connections closed because bytes arrived on them that no request had asked for").register(registry)
     private val changes = Counter.builder().name("cicadagauge_state_changes_total")
         .help("Changes of state, by kind").labelNames("kind").register(registry)
 
@@ -59,6 +61,11 @@
         broken.inc()
     }
 
+    /** Counts a connection that was closed because bytes arrived on it that no request had asked for. */
+    fun countUnsolicited() {
+        unsolicited.inc()
+    }
+
     /** Records how long a request took. */
     fun observeDuration(customer: CustomerName?, requestClass: RequestClass, duration: Duration) {
         val point = durations.getOrPut(customer to requestClass) {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
@@ -11,12 +11,11 @@
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
-/** An attempt over a connection of [pool]. It ends exactly once and reports its outcome to [onEnded]. */
+/** An attempt over a connection. It ends exactly once and reports its outcome to [onEnded]. */
 internal class UpstreamAttempt(
     val hop: Hop,
     val exchange: Exchange,
     loop: EventLoop,
-    private val pool: UpstreamConnections.ConnectionPool,
     private val onEnded: (AttemptOutcome) -> Unit,
 ) : Attempt {
     private val pendingContent = ArrayDeque<HttpContent>()
@@ -35,18 +34,19 @@
 
     override val isWritable: Boolean get() = channel?.isWritable ?: true
 
-    /** Sends the request over [connection], unless the attempt ended or its deadline passed during the connect. */
-    fun sendOver(connection: Channel) {
+    /**
+     * Sends the request over [connection] and returns true, unless the attempt ended or its deadline passed during the
+     * connect.
+     */
+    fun sendOver(connection: Channel): Boolean {
         if (!hasEnded && MonotonicClock.now() >= hop.deadline) end(AttemptOutcome.NotRun(NotRunCause.Unreachable))
-        if (hasEnded) {
-            pool.addIdle(connection)
-            return
-        }
+        if (hasEnded) return false
         channel = connection
-        connection.pipeline().get(UpstreamHandler::class.java).attempt = this
+        connection.handler().begin(this)
         connection.write(UpstreamRequest.of(exchange.request, hop))
         while (pendingContent.isNotEmpty()) writeContent(connection, pendingContent.removeFirst())
         connection.flush()
+        return true
     }
 
     override fun write(content: HttpContent) {
@@ -73,7 +73,7 @@
         timeout.cancel(false)
         pendingContent.forEach { it.release() }
         pendingContent.clear()
-        channel?.let { releaseConnection(it, outcome) }
+        channel?.handler()?.release(canBeReused = isRequestSent && isResponse(outcome))
         onEnded(if (outcome is AttemptOutcome.NotRun) outcome.copy(replayable = exchange.isReplayable) else outcome)
     }
 
@@ -82,16 +82,10 @@
         connection.write(content)
     }
 
-    /** Returns [connection] to the pool if nothing more can arrive on it, and closes it otherwise. */
-    private fun releaseConnection(connection: Channel, outcome: AttemptOutcome) {
-        val handler = connection.pipeline().get(UpstreamHandler::class.java)
-        handler.attempt = null
-        connection.config().isAutoRead = true
-        val isResponseComplete = outcome is AttemptOutcome.Answered ||
-            outcome is AttemptOutcome.NotRun ||
-            outcome is AttemptOutcome.Refused
-        if (isResponseComplete && isRequestSent && handler.isReusable) pool.addIdle(connection) else connection.close()
-    }
+    private fun isResponse(outcome: AttemptOutcome) =
+        outcome is AttemptOutcome.Answered || outcome is AttemptOutcome.NotRun || outcome is AttemptOutcome.Refused
+
+    private fun Channel.handler(): UpstreamHandler = pipeline().get(UpstreamHandler::class.java)
 
     private fun onTimeout() {
         if (exchange.hasResponseStarted) return
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
@@ -1,10 +1,10 @@
 /*
- * Connections to upstreams. A connection carries one request at a time and is reused only if the request was sent and
- * the response received completely, so that a late response can never be taken for that of another request.
+ * Connections to upstreams. A connection carries one request at a time and is reused only if the request was sent, the
+ * response received completely and nothing after it, so that a late or second response can never be taken for that of
+ * another request.
  */
 package cicadagauge.gateway.upstream
 
-import cicadagauge.gateway.TcpKeepAlive
 import cicadagauge.gateway.UpstreamLimits
 import cicadagauge.gateway.caller.Exchange
 import cicadagauge.gateway.environment.Dialect
@@ -13,24 +13,25 @@
 import cicadagauge.node.UpstreamState
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
-import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
-import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.timeout.IdleStateHandler
 import java.util.concurrent.TimeUnit
 
-/** Sends requests to upstreams, on [loop]. */
+/**
+ * Sends requests to upstreams, on [loop]. [onUnsolicited] is called for each connection that is closed because bytes
+ * arrived on it that no request had asked for, with the number of bytes that were read.
+ */
 internal class UpstreamConnections(
     private val loop: EventLoop,
     private val limits: UpstreamLimits,
     private val dialect: Dialect,
+    private val connector: Connector = TcpConnector(loop, limits),
+    private val onUnsolicited: (Address, Int) -> Unit,
 ) {
     private val pools = HashMap<Address, ConnectionPool>()
 
@@ -40,11 +41,11 @@
     /** Sends the request of [exchange] over [hop]; [onEnded] is called exactly once, with the outcome. */
     fun send(hop: Hop, exchange: Exchange, onEnded: (AttemptOutcome) -> Unit) {
         val pool = pools.getOrPut(hop.address) { ConnectionPool(hop.address) }
-        val attempt = UpstreamAttempt(hop, exchange, loop, pool, onEnded)
+        val attempt = UpstreamAttempt(hop, exchange, loop, onEnded)
         exchange.start(attempt)
         val reused = pool.takeIdle()
         when {
-            reused != null -> attempt.sendOver(reused)
+            reused != null -> pool.send(attempt, reused)
             pool.open >= hop.maxConnections -> attempt.end(AttemptOutcome.NotRun(NotRunCause.Busy))
             else -> pool.connect(attempt)
         }
@@ -52,7 +53,7 @@
 
     /** Opens a connection to [address] and closes it; [onChecked] is called exactly once, with what it shows. */
     fun check(address: Address, onChecked: (UpstreamState) -> Unit) {
-        bootstrap(ChannelInboundHandlerAdapter()).connect(address.host, address.port).addListener { result ->
+        connector.connect(address, ChannelInboundHandlerAdapter()).addListener { result ->
             (result as ChannelFuture).channel().close()
             onChecked(stateShownBy(result.cause()))
         }
@@ -64,12 +65,6 @@
         else -> UpstreamState.Silent
     }
 
-    private fun bootstrap(handler: ChannelHandler): Bootstrap =
-        Bootstrap().group(loop).channel(NioSocketChannel::class.java)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout.inWholeMilliseconds.toInt())
-            .option(ChannelOption.TCP_NODELAY, true)
-            .handler(handler)
-
     /** Closes every idle connection. */
     fun close(): Unit = pools.values.forEach { it.closeIdle() }
 
@@ -85,7 +80,9 @@
             return null
         }
 
-        fun addIdle(channel: Channel): Unit = idle.addLast(channel)
+        fun send(attempt: UpstreamAttempt, channel: Channel) {
+            if (!attempt.sendOver(channel)) idle.addLast(channel)
+        }
 
         fun closeIdle() {
             idle.forEach { it.close() }
@@ -94,9 +91,7 @@
 
         fun connect(attempt: UpstreamAttempt) {
             open++
-            TcpKeepAlive.enable(bootstrap(Initializer())).connect(address.host, address.port).addListener { result ->
-                connected(result as ChannelFuture, attempt)
-            }
+            connector.connect(address, Initializer(this)).addListener { connected(it as ChannelFuture, attempt) }
         }
 
         private fun connected(result: ChannelFuture, attempt: UpstreamAttempt) {
@@ -109,14 +104,19 @@
                 open--
                 idle.remove(result.channel())
             }
-            attempt.sendOver(result.channel())
+            send(attempt, result.channel())
+        }
+
+        fun createHandler(): UpstreamHandler = UpstreamHandler(limits, dialect, onIdle = idle::addLast) { bytes ->
+            onUnsolicited(address, bytes)
         }
     }
 
-    private inner class Initializer : ChannelInitializer<Channel>() {
+    private inner class Initializer(private val pool: ConnectionPool) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val idle = IdleStateHandler(0, 0, limits.idleTimeout.inWholeSeconds, TimeUnit.SECONDS)
-            channel.pipeline().addLast(HttpClientCodec(), idle, UpstreamHandler(limits, dialect))
+            val handler = pool.createHandler()
+            channel.pipeline().addLast(UpstreamResponseDecoder(handler), HttpRequestEncoder(), idle, handler)
         }
     }
 }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -6,6 +6,7 @@
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.Reason
 import cicadagauge.outcome.Refusal
+import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -24,12 +25,25 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Reads the responses on one upstream connection and passes them to the attempt that uses it. */
-internal class UpstreamHandler(private val limits: UpstreamLimits, private val dialect: Dialect) :
-    ChannelInboundHandlerAdapter() {
-    /** The status of the response that is being read, or 0 between responses. */
+/**
+ * Reads the responses on one upstream connection and passes them to the attempt that uses it. A response ends its
+ * attempt once everything that has arrived with it is read; if that is more than the response, the connection is
+ * closed. [onIdle] is called when the connection can carry another request, [onUnsolicited] with the number of bytes
+ * that arrived without a request.
+ */
+internal class UpstreamHandler(
+    private val limits: UpstreamLimits,
+    private val dialect: Dialect,
+    private val onIdle: (Channel) -> Unit,
+    private val onUnsolicited: (Int) -> Unit,
+) : ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+
+    /** The status of the response that is being read, or 0 before its head. */
     private var status = 0
+    private var isComplete = false
     private var keepAlive = false
+    private var isClosing = false
 
     /** The outcome if the response is not forwarded, because it is a refusal or proves that nothing ran; else null. */
     private var rejection: AttemptOutcome? = null
@@ -42,20 +56,46 @@
 
     /** The attempt that waits for a response, or null. */
     var attempt: UpstreamAttempt? = null
-
-    /** Whether the last response was complete and leaves the connection open. */
-    var isReusable = false
         private set
 
+    /** Whether data that arrives now belongs to a response. */
+    val expectsData: Boolean get() = attempt != null && !isComplete
+
+    /** Reads the next response for [next]. */
+    fun begin(next: UpstreamAttempt) {
+        attempt = next
+        status = 0
+        isComplete = false
+        rejection = null
+    }
+
+    /** Detaches the attempt, which has ended, and closes the connection unless it [canBeReused]. */
+    fun release(canBeReused: Boolean) {
+        attempt = null
+        context.channel().config().isAutoRead = true
+        if (canBeReused && isComplete && keepAlive && !isClosing) onIdle(context.channel()) else close()
+    }
+
+    /** Closes the connection, because [length] bytes have arrived on it that belong to no response. */
+    fun rejectData(length: Int) {
+        if (isClosing) return
+        onUnsolicited(length)
+        close()
+        endCompleteResponse()
+    }
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val running = attempt
-        if (running == null) {
+        if (running == null || message !is HttpObject) {
             ReferenceCountUtil.release(message)
-            context.close()
-            return
+            return close()
         }
         lastReadNanos = System.nanoTime()
-        if ((message as HttpObject).decoderResult().isFailure) {
+        if (message.decoderResult().isFailure) {
             ReferenceCountUtil.release(message)
             return failAttempt(running)
         }
@@ -64,12 +104,17 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        val running = attempt
-        if (running != null && running.exchange.hasResponseStarted) running.exchange.caller.flush()
+        val running = attempt ?: return
+        when {
+            isComplete -> endCompleteResponse()
+            running.exchange.hasResponseStarted -> running.exchange.caller.flush()
+        }
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         progressCheck?.cancel(false)
+        isClosing = true
+        endCompleteResponse()
         attempt?.let(::failAttempt)
     }
 
@@ -78,13 +123,13 @@
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        if (event is IdleStateEvent && attempt == null) context.close()
+        if (event is IdleStateEvent && attempt == null) close()
     }
 
     @Deprecated("Overrides a deprecated method of Netty")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         wasReset = true
-        context.close()
+        close()
     }
 
     private fun readHead(context: ChannelHandlerContext, running: UpstreamAttempt, response: HttpResponse) {
@@ -95,7 +140,6 @@
         rejection = if (running.hop.isRelay) homeRefusal(response) else notRun(response)
         val isFramed = isFramed(response, running)
         if (rejection == null && !isFramed && !dialect.allowsCloseDelimitedBody) return failAttempt(running)
-        isReusable = false
         keepAlive = HttpUtil.isKeepAlive(response)
         if (rejection != null) return
         val forwarded = DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status())
@@ -119,15 +163,14 @@
         if (rejected == null) running.exchange.caller.write(running.exchange, content) else content.release()
         if (!isLast) return
         progressCheck?.cancel(false)
-        isReusable = keepAlive
-        val responseStatus = status
-        status = 0
-        running.end(rejected ?: AttemptOutcome.Answered(responseStatus, slowness))
+        isComplete = true
+    }
+
+    private fun endCompleteResponse() {
+        if (isComplete) attempt?.end(rejection ?: AttemptOutcome.Answered(status, slowness))
     }
 
     private fun failAttempt(running: UpstreamAttempt) {
-        status = 0
-        isReusable = false
         running.end(
             if (running.exchange.hasResponseStarted) {
                 AttemptOutcome.Truncated
@@ -137,6 +180,11 @@
         )
     }
 
+    private fun close() {
+        isClosing = true
+        context.close()
+    }
+
     private fun isResponseTo(running: UpstreamAttempt, response: HttpResponse): Boolean =
         dialect.isResponseTo(response.status().code(), response.headers(), running.exchange.request.headers())
 
@@ -167,7 +215,7 @@
         val limitNanos = limits.responseProgress.inWholeNanoseconds
         progressCheck = context.executor().schedule({
             val isStalled = System.nanoTime() - lastReadNanos >= limitNanos
-            if (attempt != null) if (isStalled) context.close() else scheduleProgressCheck(context)
+            if (attempt != null) if (isStalled) close() else scheduleProgressCheck(context)
         }, limitNanos, TimeUnit.NANOSECONDS)
     }
 }
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/RequestRegistryTest.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/RequestRegistryTest.kt
@@ -39,7 +39,7 @@
     private val loopMonitor = EventLoopMonitor { now }
     private val registry = RequestRegistry(
         driver = NodeDriver(node, loop).apply { effectHandler = EffectHandler { } },
-        connections = UpstreamConnections(loop, UpstreamLimits(), DefaultDialect),
+        connections = UpstreamConnections(loop, UpstreamLimits(), DefaultDialect) { _, _ -> },
         metrics = GatewayMetrics { 0 },
         secret = "secret",
         dialect = DefaultDialect,
