Answer a rejected request at the head of its rejection, and bound what is read of the rest

Cause: UpstreamHandler ended the attempt with the rejection only at the last content of the response. A time-out, a broken body or a trailer that is too long came first and ended it as lost.

Change: the attempt ends at the end of the read that holds the rejection's head, or with the whole response if that is there too, and a failure of the connection from then on can't turn the rejection into anything else. What is missing of the response is drained without the attempt, at most 16 KiB and for one second (RejectionDrain); if it is complete by then and nothing follows, the connection is used again, else it is closed. Meanwhile the connection carries no request. As before, it is closed at once where the request was not sent completely.

Why "not run" stays true: it is said only where the head says it, after the check that the response is for this request; a request that has got no head by its deadline is still lost.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -28,8 +28,8 @@
 /**
  * Reads the responses on one upstream connection and passes them to the attempt that uses it. A response ends its
  * attempt once everything that has arrived with it is read; if that is more than the response, the connection is
- * closed. [onIdle] is called when the connection can carry another request, [onUnsolicited] with the number of bytes
- * that arrived without a request.
+ * closed. A rejection doesn't wait for its rest. [onIdle] is called when the connection can carry another request,
+ * [onUnsolicited] with the number of bytes that arrived without a request.
  */
 internal class UpstreamHandler(
     private val limits: UpstreamLimits,
@@ -47,6 +47,9 @@
 
     /** The outcome if the response is not forwarded, because it is a refusal or proves that nothing ran; else null. */
     private var rejection: AttemptOutcome? = null
+
+    /** The drain of a rejection whose attempt has ended, or null. */
+    private var drain: RejectionDrain? = null
     private var progressCheck: ScheduledFuture<*>? = null
     private var lastReadNanos = 0L
 
@@ -59,7 +62,7 @@
         private set
 
     /** Whether data that arrives now belongs to a response. */
-    val expectsData: Boolean get() = attempt != null && !isComplete
+    val expectsData: Boolean get() = (attempt != null || drain != null) && !isComplete
 
     /** Reads the next response for [next]. */
     fun begin(next: UpstreamAttempt) {
@@ -69,11 +72,21 @@
         rejection = null
     }
 
-    /** Detaches the attempt, which has ended, and closes the connection unless it [canBeReused]. */
+    /** Detaches the attempt, which has ended, and closes the connection unless it [canBeReused] after its response. */
     fun release(canBeReused: Boolean) {
         attempt = null
         context.channel().config().isAutoRead = true
-        if (canBeReused && isComplete && keepAlive && !isClosing) onIdle(context.channel()) else close()
+        when {
+            !canBeReused || !keepAlive || isClosing -> close()
+            isComplete -> onIdle(context.channel())
+            else -> drain = RejectionDrain(context.executor(), ::close)
+        }
+    }
+
+    /** Handles the end of a read of [length] bytes. A rejection whose rest is missing waits for no further read. */
+    fun endRead(length: Int) {
+        drain?.add(length)
+        if (rejection != null && !isComplete) attempt?.let(::endResponse)
     }
 
     /** Closes the connection, because [length] bytes have arrived on it that belong to no response. */
@@ -81,7 +94,7 @@
         if (isClosing) return
         onUnsolicited(length)
         close()
-        endCompleteResponse()
+        attempt?.let(::endResponse)
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -92,7 +105,7 @@
         val running = attempt
         if (running == null || message !is HttpObject) {
             ReferenceCountUtil.release(message)
-            return close()
+            return drain(message)
         }
         lastReadNanos = System.nanoTime()
         if (message.decoderResult().isFailure) {
@@ -104,17 +117,18 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        val running = attempt ?: return
+        val running = attempt ?: return endDrain()
         when {
-            isComplete -> endCompleteResponse()
+            isComplete -> endResponse(running)
             running.exchange.hasResponseStarted -> running.exchange.caller.flush()
         }
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         progressCheck?.cancel(false)
+        drain?.end()
         isClosing = true
-        endCompleteResponse()
+        if (isComplete) attempt?.let(::endResponse)
         attempt?.let(::failAttempt)
     }
 
@@ -166,13 +180,14 @@
         isComplete = true
     }
 
-    private fun endCompleteResponse() {
-        if (isComplete) attempt?.end(rejection ?: AttemptOutcome.Answered(status, slowness))
-    }
+    private fun endResponse(running: UpstreamAttempt): Unit =
+        running.end(rejection ?: AttemptOutcome.Answered(status, slowness))
 
+    /** Ends the attempt, whose connection failed; a rejection holds all the same. */
     private fun failAttempt(running: UpstreamAttempt) {
+        isClosing = true
         running.end(
-            if (running.exchange.hasResponseStarted) {
+            rejection ?: if (running.exchange.hasResponseStarted) {
                 AttemptOutcome.Truncated
             } else {
                 AttemptOutcome.Lost(timedOut = false)
@@ -180,8 +195,24 @@
         )
     }
 
+    /** Handles a [message] that no attempt waits for; it has been released. */
+    private fun drain(message: Any) {
+        val isBroken = message !is HttpObject || message.decoderResult().isFailure
+        if (drain == null || isBroken) return close()
+        if (message is LastHttpContent) isComplete = true
+    }
+
+    private fun endDrain() {
+        val ended = drain ?: return
+        if (!isComplete || isClosing) return
+        ended.end()
+        drain = null
+        onIdle(context.channel())
+    }
+
     private fun close() {
         isClosing = true
+        drain?.end()
         context.close()
     }
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamResponseDecoder.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamResponseDecoder.kt
@@ -19,9 +19,10 @@
     private var unsolicitedBytes = 0
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        val length = (message as ByteBuf).readableBytes()
         unsolicitedBytes = 0
         super.channelRead(context, message)
-        if (unsolicitedBytes > 0) handler.rejectData(unsolicitedBytes)
+        if (unsolicitedBytes > 0) handler.rejectData(unsolicitedBytes) else handler.endRead(length)
     }
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/EmbeddedUpstream.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/EmbeddedUpstream.kt
@@ -26,6 +26,8 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 
 /** An upstream whose connections are embedded channels: what it sends is read when the test says so. */
@@ -101,11 +103,16 @@
 
 /** Reads [parts] one after the other in one turn of the event loop, as from a socket that holds them all. */
 internal fun EmbeddedChannel.read(vararg parts: String) {
-    parts.forEach { pipeline().fireChannelRead(alloc().buffer().writeBytes(it.toByteArray(Charsets.ISO_8859_1))) }
+    parts.forEach(::readPart)
     pipeline().fireChannelReadComplete()
     runPendingTasks()
 }
 
+/** Reads [part], and leaves the turn of the event loop open. */
+internal fun EmbeddedChannel.readPart(part: String) {
+    pipeline().fireChannelRead(alloc().buffer().writeBytes(part.toByteArray(Charsets.ISO_8859_1)))
+}
+
 /** Reads [text] over and over, until the channel is closed or [maxBytes] have been read; returns how many were. */
 internal fun EmbeddedChannel.readEndlessly(text: String, maxBytes: Int): Int {
     var bytes = 0
@@ -115,3 +122,10 @@
     }
     return bytes
 }
+
+/** Lets [duration] pass for the channel's timers. */
+internal fun EmbeddedChannel.pass(duration: Duration) {
+    freezeTime()
+    advanceTimeBy(duration.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    runScheduledPendingTasks()
+}
