--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/deployment/DeploymentShape.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/deployment/DeploymentShape.kt
@@ -6,6 +6,7 @@
 
 import cicadagauge.declaration.Customer
 import cicadagauge.declaration.Declaration
+import cicadagauge.declaration.DeclarationDefaults
 import cicadagauge.declaration.KeySource
 import cicadagauge.declaration.Pool
 import cicadagauge.declaration.RequestClass
@@ -53,6 +54,7 @@
  * @property customerRates how many requests a second each customer may send, the largest first; the burst of each is
  * one second of its rate
  * @property entryVms how many entry VMs the declaration states
+ * @property deadline the deadline of every route
  */
 public data class DeploymentShape(
     val zones: List<String>,
@@ -64,6 +66,7 @@
     val callerDelay: Duration,
     val customerRates: List<Double>,
     val entryVms: Int = 9,
+    val deadline: Duration = DeclarationDefaults.DEADLINE,
 ) {
     /** The customers' names, in the order of [customerRates]. */
     public val customers: List<String> get() = customerRates.indices.map { "customer-${it + 1}" }
@@ -110,6 +113,7 @@
         key = if (pools.first { it.name == traffic.pool }.keyed) KeySource.PathSegment("key") else null,
         requestClass = traffic.requestClass,
         idempotent = traffic.idempotent,
+        deadline = deadline,
     )
 
     public companion object {
