Take over a duty at once from an allocator that has said that it stopped

What callers saw: after a planned stop of the VM that allocates a pool, requests for keys of this pool were refused with owner-unavailable on the VMs that remained, until 4 s after these were first listed.

Cause: a VM that is listed for less than twice OwnershipSettings.outagePromise, 4 s, doesn't take a duty from an allocator that is still listed, since that allocator might go on during a store outage without this VM's promise. An allocator that hands over says so to all VMs (Yielded), which ended the promises made to it, but not this wait. The leases of its slots, 1.2 s, ended meanwhile.

Change: MadePromises notes who said that its allocator has stopped, and below which term; PoolDuty doesn't wait for this allocator. An allocator that only looks lost, or one of a later term, is waited for as before.

The 29 cases of OwnershipTest pass.

Why this is safe: Yielded is sent after the allocator has stopped and its key is deleted, and the wait protects from an allocator that still runs. A VM that is no longer listed has been excepted in the same way.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -102,7 +102,7 @@
         val duty = duties[message.pool] ?: return
         duty.allocator?.takeIf { it.term == message.term }?.predecessorStopped(from, now)
         if (dependencies.owners[message.pool]?.record?.allocator == from) {
-            duty.madePromises.endAll()
+            duty.madePromises.allocatorStopped(from, message.term)
             duty.takeIfDue(now)
         }
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/MadePromises.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/MadePromises.kt
@@ -3,6 +3,7 @@
 import cicadagauge.identity.Moment
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.Term
+import cicadagauge.identity.VmId
 import cicadagauge.membership.VmDirectory
 import cicadagauge.node.OwnershipSettings
 import cicadagauge.routing.OwnerDirectory
@@ -16,6 +17,8 @@
     private val settings: OwnershipSettings,
 ) {
     private var raisedTerm = Term.NONE
+    private var stoppedVm: VmId? = null
+    private var stoppedBelow = Term.NONE
 
     /** The end of the latest promise; this VM does not begin to take the duty before. */
     var until: Moment = Moment.PAST
@@ -35,11 +38,19 @@
         until = maxOf(until, now + settings.outagePromise)
     }
 
-    /** Ends all promises, because the allocator that they were made to has stopped. */
-    fun endAll() {
+    /**
+     * Ends all promises, because the allocator that they were made to has stopped: none of a term below [term] runs on
+     * [vm] any more.
+     */
+    fun allocatorStopped(vm: VmId, term: Term) {
         until = Moment.PAST
+        stoppedVm = vm
+        stoppedBelow = term
     }
 
+    /** Whether [vm] was the last VM to say that its allocator has stopped, and that of [term] is included. */
+    fun hasStopped(vm: VmId, term: Term): Boolean = vm == stoppedVm && term < stoppedBelow
+
     /** Makes no more promises for terms below [term]. Returns the time until the latest promise ends, or zero. */
     fun termRaised(term: Term, now: Moment): Duration {
         raisedTerm = maxOf(raisedTerm, term)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
@@ -112,11 +112,12 @@
 
     /**
      * The time from which every VM that might be the allocator has this VM on its list, so that it needs this VM's
-     * promise. [Moment.PAST] if there is no known allocator, or it is this VM or no longer listed.
+     * promise. [Moment.PAST] if there is no known allocator, or it is this VM, has stopped or is no longer listed.
      */
     private fun earliestSafeTakeover(): Moment {
-        val last = dependencies.owners[pool.name]?.record?.allocator ?: return Moment.PAST
-        val mayStillAllocate = last != vms.self && vms.isListed(last)
+        val record = dependencies.owners[pool.name]?.record ?: return Moment.PAST
+        val last = record.allocator
+        val mayStillAllocate = last != vms.self && vms.isListed(last) && !madePromises.hasStopped(last, record.term)
         return if (mayStillAllocate) vms.selfListedSince + settings.outagePromise * 2 else Moment.PAST
     }
 
