Keep one watch a prefix when the watch itself shows the store's return

What operators would see: calls to the store that grow with each outage and never shrink again.

Cause: the listeners of the store's return ran before the reply that shows it was handled. Where that was the reply to the pending watch, the watch was replaced, and its own handling began another: two chains of watches from then on.

Change: the reply is handled first, and a watch that was sent at the moment of the return is not replaced.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreClient.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreClient.kt
@@ -20,7 +20,10 @@
     var returnedAt: Moment = Moment.PAST
         private set
 
-    /** Calls [listener] with the current time whenever the store answers again after a call without an answer. */
+    /**
+     * Calls [listener] with the current time whenever the store answers again after a call without an answer, once that
+     * answer has been handled.
+     */
     fun onReturn(listener: (Moment) -> Unit) {
         returnListeners += listener
     }
@@ -43,17 +46,18 @@
     /** Handles the reply to call [id]; a second reply is ignored. */
     fun replied(id: StoreCallId, reply: StoreReply, now: Moment) {
         val onReply = callbacks.remove(id) ?: return
-        noteReachability(reply != StoreReply.Unavailable, now)
+        val hasReturned = noteReachability(reply != StoreReply.Unavailable, now)
         onReply(reply, now)
+        if (hasReturned) returnListeners.forEach { it(now) }
     }
 
-    private fun noteReachability(answered: Boolean, now: Moment) {
+    /** Records whether the store has [answered]; true if it does again after a call without an answer. */
+    private fun noteReachability(answered: Boolean, now: Moment): Boolean {
         if (answered) lastAnswerAt = now
-        if (answered == reachable) return
+        if (answered == reachable) return false
         reachable = answered
+        if (answered) returnedAt = now
         effects.add(Effect.StateChanged(StateChange.StoreReachable(answered)))
-        if (!answered) return
-        returnedAt = now
-        returnListeners.forEach { it(now) }
+        return answered
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
@@ -46,7 +46,7 @@
     private var pendingWatch: PendingWatch? = null
 
     init {
-        store.onReturn(::renewWatch)
+        store.onReturn { now -> pendingWatch?.takeIf { it.sentAt < now }?.let { renew(it, now) } }
     }
 
     /** Applies a peer's update and reports the changes in it to the listener. */
@@ -104,13 +104,12 @@
      * Replaces a watch that may have been sent while the store was unavailable: the store answers new calls, but never
      * one that it lost, and a lost watch looks like one without changes until its waiting time is over.
      */
-    private fun renewWatch(now: Moment) {
-        val pending = pendingWatch ?: return
-        val renewableAt = pending.sentAt + settings.minWatchRenewalInterval
-        if (now < renewableAt) return timers.at(renewableAt) { if (pendingWatch == pending) renewWatch(it) }
-        store.cancel(pending.id)
+    private fun renew(watch: PendingWatch, now: Moment) {
+        val renewableAt = watch.sentAt + settings.minWatchRenewalInterval
+        if (now < renewableAt) return timers.at(renewableAt) { if (pendingWatch == watch) renew(watch, it) }
+        store.cancel(watch.id)
         pendingWatch = null
-        reportEnd(WatchResult.Renewed, waited = now - pending.sentAt)
+        reportEnd(WatchResult.Renewed, waited = now - watch.sentAt)
         start(now)
     }
 
