Wait shortly for changes of the store wherever a watch may be lost

What callers would see: requests handled by an old declaration, or refused for a rate that the seat of a new VM should have, for up to 26 s.

StoreWatcherChainsTest: a VM that becomes the first watcher kept a watch of 10 s.

Change: for 5 s after the store's return all watches wait for 1.5 s only, so one that is lost again is soon replaced. A VM that becomes the first watcher replaces its watch. A message from a VM that isn't listed shows that the list is old: the watch that should have told is replaced, once in 1.5 s at the most.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RoundTripTimes.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RoundTripTimes.kt
@@ -50,7 +50,7 @@
         const val DEVIATION_GAIN = 0.25
         const val DEVIATIONS = 4
 
-        /** The least margin over the usual round trip, as a part of it: in calm times the deviation is close to zero. */
+        /** The least margin over the usual round trip, as a part of it: the deviation is close to 0 in calm times. */
         const val MIN_MARGIN_FRACTION = 0.5
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -87,23 +87,13 @@
             lease = lease,
         ),
     )
+    private val stateWatcher = storeWatcher(StoreKeys.STATE, watchers)
     private val storeWatchers = listOf(
-        StoreKeys.OPERATORS to watchers,
-        StoreKeys.UPSTREAMS to watchers,
-        StoreKeys.STATE to watchers,
-        StoreKeys.RECORDS to recordWatchers,
-    ).map { (prefix, prefixWatchers) ->
-        StoreWatcher(
-            prefix = prefix,
-            store = store,
-            watchers = prefixWatchers,
-            settings = settings.dissemination,
-            timers = timers,
-            listener = StoreEntryHandler(),
-            effects = effects,
-            shared = sharedEntries.firstOrNull { it.prefix.startsWith(prefix) },
-        )
-    }
+        storeWatcher(StoreKeys.OPERATORS, watchers),
+        storeWatcher(StoreKeys.UPSTREAMS, watchers),
+        stateWatcher,
+        storeWatcher(StoreKeys.RECORDS, recordWatchers),
+    )
     private var wakeAt = Moment.FUTURE
     private var stopping = false
 
@@ -193,6 +183,7 @@
     }
 
     private fun handlePeerMessage(from: VmId, message: PeerMessage, now: Moment) {
+        if (registration != null && !vms.isListed(from)) stateWatcher.changesMissed(now)
         vms.recordContact(from, now)
         when (message) {
             is PeerMessage.Reserve -> reserve(from, message, now)
@@ -285,6 +276,17 @@
         effects.add(Effect.WakeAt(next))
     }
 
+    private fun storeWatcher(prefix: String, prefixWatchers: Watchers) = StoreWatcher(
+        prefix = prefix,
+        store = store,
+        watchers = prefixWatchers,
+        settings = settings.dissemination,
+        timers = timers,
+        listener = StoreEntryHandler(),
+        effects = effects,
+        shared = sharedEntries.firstOrNull { it.prefix.startsWith(prefix) },
+    )
+
     private inner class StoreEntryHandler : StoreListener {
         override fun snapshot(entries: List<StoreEntry>, now: Moment) {
             val (dutyEntries, others) = entries.partition { dutyPoolOf(it) != null }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -241,8 +241,9 @@
  * @property watchersPerZone VMs per availability zone that watch declarations, registrations and duties in the store.
  * @property recordWatchersPerZone VMs per availability zone that watch ownership records in the store.
  * @property watchWait How long a store watch may wait for changes.
- * @property firstWatcherWait The same on the VM that ranks first among the watchers. It bounds how long all VMs may
- * miss changes that the store has failed to report without any other sign.
+ * @property shortWatchWait The same on the VM that ranks first among the watchers, and on all of them for
+ * [shortWatchPeriod] after the store's return. It bounds how long a lost watch can go unnoticed.
+ * @property shortWatchPeriod How long after the store's return all watches wait for [shortWatchWait] only.
  * @property watchRetry Delay before a failed store read or watch is repeated.
  * @property minWatchRenewalInterval Shortest time from a watch to the one that replaces it on the store's return.
  * @property watchPause Delay between a watch that returned changes and the next one.
@@ -255,7 +256,8 @@
     val watchersPerZone: Int = 2,
     val recordWatchersPerZone: Int = 2,
     val watchWait: Duration = 10.seconds,
-    val firstWatcherWait: Duration = 1_500.milliseconds,
+    val shortWatchWait: Duration = 1_500.milliseconds,
+    val shortWatchPeriod: Duration = 5.seconds,
     val watchRetry: Duration = 250.milliseconds,
     val minWatchRenewalInterval: Duration = 500.milliseconds,
     val watchPause: Duration = Duration.ZERO,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
@@ -64,6 +64,15 @@
         }
     }
 
+    /**
+     * Replaces the pending watch, because a peer knows something that the store should have reported. A watch that was
+     * sent within [DisseminationSettings.shortWatchWait] is left, so that repeated signs cost few calls.
+     */
+    fun changesMissed(now: Moment) {
+        val watch = pendingWatch ?: return
+        if (watch.sentAt + settings.shortWatchWait <= now) renew(watch, now)
+    }
+
     private fun list() {
         store.call(StoreCall.List(prefix)) { reply, now ->
             if (reply is StoreReply.Listed) listed(reply, now) else timers.at(now + settings.watchRetry, ::start)
@@ -85,8 +94,7 @@
     }
 
     private fun watch(sentAt: Moment) {
-        // A lost watch looks like one without changes until its wait ends, so one VM of the fleet doesn't wait long.
-        val wait = if (watchers.isSelfFirst()) settings.firstWatcherWait else settings.watchWait
+        val wait = if (expectsLoss(sentAt)) settings.shortWatchWait else settings.watchWait
         val call = StoreCall.Watch(prefix, after = revision, wait = wait)
         val id = store.call(call) { reply, now ->
             pendingWatch = null
@@ -97,7 +105,24 @@
                 else -> timers.at(now + settings.watchRetry, ::start)
             }
         }
-        pendingWatch = PendingWatch(id, sentAt)
+        val watch = PendingWatch(id, sentAt)
+        pendingWatch = watch
+        if (wait > settings.shortWatchWait) scheduleCheck(watch, sentAt)
+    }
+
+    /**
+     * Whether a watch sent at [now] is not to wait long, because a lost watch looks like one without changes until its
+     * wait ends: for a while after the store has failed to answer, and always on one VM of the fleet.
+     */
+    private fun expectsLoss(now: Moment): Boolean =
+        watchers.isSelfFirst() || now < store.returnedAt + settings.shortWatchPeriod
+
+    /** Replaces [watch] if this VM has become the one whose watches don't wait long. */
+    private fun scheduleCheck(watch: PendingWatch, now: Moment) {
+        timers.at(now + settings.shortWatchWait) { moment ->
+            if (pendingWatch != watch) return@at
+            if (watchers.isSelfFirst()) renew(watch, moment) else scheduleCheck(watch, moment)
+        }
     }
 
     /**
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherChainsTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherChainsTest.kt
@@ -19,18 +19,17 @@
 
 private const val WATCHED = "records/"
 
-private fun change(revision: Long) =
-    StoreReply.Changes(
-        listOf(StoreEntry(StoreKey(WATCHED + "a"), "$revision", StoreRevision(revision))),
-        StoreRevision(revision),
-    )
+private fun change(revision: Long) = StoreReply.Changes(
+    listOf(StoreEntry(StoreKey(WATCHED + "a"), "$revision", StoreRevision(revision))),
+    StoreRevision(revision),
+)
 
 /** A watcher whose unanswered calls are all kept. */
 private class ChainFixture {
     private val effects = Effects()
     private val store = StoreClient(effects)
     private val timers = Timers()
-    private val vms = VmDirectory(VmId("vm"), AvailabilityZone("a"), effects)
+    val vms = VmDirectory(VmId("vm"), AvailabilityZone("a"), effects)
     private var now = Moment.ZERO
     private val open = LinkedHashMap<StoreCallId, StoreCall>()
     var deliveries = 0
@@ -59,8 +58,8 @@
         pass(1.seconds)
     }
 
-    private fun list(name: String) =
-        vms.update(listOf(Vm(VmId(name), Address(name, 1), Address(name, 1), vms.zone)), now)
+    fun list(vararg names: String) =
+        vms.update(names.map { Vm(VmId(it), Address(it, 1), Address(it, 1), vms.zone) }, now)
 
     fun pass(duration: Duration) {
         now += duration
@@ -68,7 +67,7 @@
         drain()
     }
 
-    private fun drain() = effects.take().forEach {
+    fun drain() = effects.take().forEach {
         if (it is Effect.CallStore) open[it.id] = it.call
         if (it is Effect.CancelStoreCall) open -= it.id
     }
@@ -146,4 +145,20 @@
             watched.pass(1.seconds)
             watched.openCalls().size shouldBe 1
         }
+
+        test("a VM that becomes the first watcher has a watch with the first watcher's wait") {
+            val first = (1..1_000).map { "vm-$it" }.first { name ->
+                ChainFixture().run {
+                    list("vm", name)
+                    vms.ranked("watch").first().id.value == name
+                }
+            }
+            val watched = ChainFixture()
+            watched.list("vm", first)
+            watched.answer(watched.oldest(), StoreReply.Changes(emptyList(), StoreRevision(5)))
+            watched.openCalls() shouldBe listOf(StoreCall.Watch(WATCHED, StoreRevision(5), 10.seconds))
+            watched.list("vm")
+            watched.pass(3.seconds)
+            watched.openCalls() shouldBe listOf(StoreCall.Watch(WATCHED, StoreRevision(5), 1_500.milliseconds))
+        }
     })
