Serve callers of a VM that reaches no upstream through the others

Cause: such a VM stays home of its part of the upstreams. It fails everything that has it as home, what other VMs relay to it included, and pings answer as ever.

Change: UpstreamReachability decides on each VM whether it reaches any upstream, from failed attempts and a few new connections. A VM that doesn't ranks last as home, on itself too, so that it relays everything. It refuses what is relayed to it with a reason of its own, and announces its state until the upstreams are back. Where no VM reaches any, homes stay as they are. The conversion of outcomes and the choice of the final reason move out of Dispatcher.

Why it works: one accepted connection proves that there is no cut, so upstreams that are down themselves change nothing; the decision takes 0.4 s of silence or two refused connections, and at most two connect timeouts.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -57,6 +57,9 @@
     /** The wall clock has advanced by [unseen] more than the monotonic clock; negative if it was set back. */
     public data class Suspended(val unseen: Duration) : StateChange
 
+    /** This VM has lost all upstreams, or reaches some again. */
+    public data class UpstreamsReached(val reached: Boolean) : StateChange
+
     /** The platform store started or stopped answering this VM. */
     public data class StoreReachable(val reachable: Boolean) : StateChange
 }
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/Outcome.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/Outcome.kt
@@ -47,6 +47,7 @@
     UpstreamBusy("upstream-busy", 503, Verdict.NotRun),
     NoUpstream("no-upstream", 503, Verdict.NotRun),
     OwnerUnavailable("owner-unavailable", 503, Verdict.NotRun),
+    CutOff("vm-without-upstreams", 503, Verdict.NotRun),
     ShuttingDown("shutting-down", 503, Verdict.NotRun),
     Quarantined("quarantined", 503, Verdict.NotRun),
     DeadlineBeforeRun("deadline-before-run", 503, Verdict.NotRun),
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -213,6 +213,15 @@
     @SerialName("Pong")
     public data object Pong : PeerMessage
 
+    /**
+     * Announces whether the sender reaches any upstream.
+     *
+     * @property sequence rises with each announcement of the sender, so that an earlier one can be told.
+     */
+    @Serializable
+    @SerialName("UpstreamsReached")
+    public data class UpstreamsReached(val reached: Boolean, val sequence: Long) : PeerMessage
+
     /** Announces that the sender is about to stop and gives up its roles. */
     @Serializable
     @SerialName("Leaving")
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -20,7 +20,6 @@
 import cicadagauge.node.NodeSettings
 import cicadagauge.node.RequestHead
 import cicadagauge.node.StateChange
-import cicadagauge.node.UpstreamState
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
 import cicadagauge.outcome.Refusal
@@ -107,6 +106,7 @@
 
     val time = VirtualTime()
     val network = VirtualNetwork(time, random, settings.network)
+    val connections = VirtualConnections(time, network)
     val store = VirtualStore(time, network)
     val declaration: Declaration = settings.shape.declaration { Address(it.value, 1) }
     val upstreams: Map<UpstreamId, VirtualUpstream> = declaration.pools.flatMap { pool ->
@@ -245,28 +245,17 @@
 
     private fun forward(vm: VirtualVm, effect: Effect.Forward) {
         val upstream = upstreams.getValue(effect.upstream)
-        var done = false
-        val complete = { outcome: AttemptOutcome ->
-            if (!done) {
-                done = true
-                endAttempt(vm, effect.id, outcome)
+        val attempt = connections.begin(vm, upstream, { endAttempt(vm, effect.id, it) }) { attempt ->
+            network.sendOnConnection(vm.endpoint, upstream.endpoint) {
+                observer.onRequestArrived(this, upstream, effect)
+                upstream.run(effect.slot, {
+                    observer.onRequestStarted(this, upstream, effect)
+                }) { result -> sendResult(vm, upstream, result, attempt::end) }
             }
+            upstream.onCrash { attempt.end(AttemptOutcome.Lost(timedOut = false)) }
         }
         val remaining = maxOf(0L, vm.nanosUntil(effect.deadline))
-        time.at(time.now + remaining) { complete(AttemptOutcome.Lost(timedOut = true)) }
-        if (upstream.crashed) {
-            time.after(network.delay(vm.endpoint, upstream.endpoint) * 2) {
-                complete(AttemptOutcome.NotRun(NotRunCause.Unreachable))
-            }
-            return
-        }
-        network.sendOnConnection(vm.endpoint, upstream.endpoint) {
-            observer.onRequestArrived(this, upstream, effect)
-            upstream.run(effect.slot, {
-                observer.onRequestStarted(this, upstream, effect)
-            }) { result -> sendResult(vm, upstream, result, complete) }
-        }
-        upstream.onCrash { complete(AttemptOutcome.Lost(timedOut = false)) }
+        time.at(time.now + remaining) { attempt.end(AttemptOutcome.Lost(timedOut = true)) }
     }
 
     private fun awaitBody(vm: VirtualVm, effect: Effect.AwaitBody) {
@@ -274,13 +263,10 @@
         time.after(Duration.ZERO) { vm.submit(Event.BodyRead(effect.id, body)) }
     }
 
-    private fun check(vm: VirtualVm, effect: Effect.CheckUpstream) {
-        val upstream = upstreams.getValue(effect.upstream)
-        val state = if (upstream.crashed) UpstreamState.Refusing else UpstreamState.Accepting
-        time.after(network.delay(vm.endpoint, upstream.endpoint) * 2) {
+    private fun check(vm: VirtualVm, effect: Effect.CheckUpstream) =
+        connections.check(vm, upstreams.getValue(effect.upstream)) { state ->
             vm.submit(Event.UpstreamChecked(effect.upstream, state))
         }
-    }
 
     private fun relay(vm: VirtualVm, effect: Effect.Relay) {
         var done = false
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -101,6 +101,7 @@
                 ),
                 PeerMessage.Ping,
                 PeerMessage.Pong,
+                PeerMessage.UpstreamsReached(reached = false, sequence = 4),
                 PeerMessage.Leaving,
                 PeerMessage.OutageQuery(pool, Term(3), 8),
                 PeerMessage.OutagePromise(pool, Term(3), 8),
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -13,6 +13,7 @@
 import cicadagauge.identity.RequestId
 import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
+import cicadagauge.membership.UpstreamReachability
 import cicadagauge.membership.Vm
 import cicadagauge.membership.VmDirectory
 import cicadagauge.node.DispatchSettings
@@ -26,7 +27,6 @@
 import cicadagauge.outcome.NotRunCause
 import cicadagauge.outcome.Reason
 import cicadagauge.outcome.Refusal
-import cicadagauge.outcome.Verdict
 import cicadagauge.peer.PeerMessage
 import cicadagauge.peer.PermitResult
 import cicadagauge.quarantine.CrashDetector
@@ -42,6 +42,7 @@
     private val settings: DispatchSettings,
     private val quarantine: RequestQuarantine,
     private val crashDetector: CrashDetector,
+    private val reachability: UpstreamReachability,
     private val timers: Timers,
     private val effects: Effects,
     coldUntil: (UpstreamId) -> Moment,
@@ -155,6 +156,7 @@
             AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
             is AttemptOutcome.Refused -> {
                 vms.recordContact(state.home, now)
+                if (outcome.refusal.reason == Reason.CutOff) vms.markCutOff(state.home, now + settings.homeSuspicion)
                 refusedByHome(request, outcome.refusal, now)
             }
             is AttemptOutcome.NotRun -> {
@@ -172,8 +174,9 @@
         now: Moment,
     ) {
         request.state = PendingRequest.State.Idle
+        reachability.attemptEnded(state.upstream, state.since, outcome, now)
         val slowness = (outcome as? AttemptOutcome.Answered)?.slowness
-        val message = PeerMessage.Release(request.pool.name, request.id, resultOf(outcome), now - state.since, slowness)
+        val message = PeerMessage.Release(request.pool.name, request.id, PermitResults.of(outcome), now - state.since, slowness)
         release(state.home, message, now)
         when (outcome) {
             is AttemptOutcome.Answered -> {
@@ -225,6 +228,7 @@
      * rejected the request, trying another one is a retry.
      */
     private fun refusedByHome(request: PendingRequest, refusal: Refusal, now: Moment) {
+        if (refusal.reason == Reason.CutOff) return backOff(request, DispatchRefusals.of(NotRunCause.Unreachable), now)
         val wasRejected = refusal.reason == Reason.UpstreamBusy
         if (wasRejected) request.hasReachedUpstream = true
         val isFull = wasRejected || refusal.reason == Reason.Overloaded || refusal.reason == Reason.NoUpstream
@@ -242,7 +246,18 @@
             .forEach { reserve(it, now) }
     }
 
+    /** Passes the requests that wait for a permit of this VM to other VMs, if only those reach upstreams. */
+    fun reachabilityChanged(now: Moment) {
+        if (!vms.isBypassed()) return
+        val waitingHere = waiting.filter { (it.state as? PendingRequest.State.Reserving)?.home == vms.self }
+        for (request in waitingHere) {
+            withdraw(request, now)
+            reserve(request, now)
+        }
+    }
+
     private fun reserve(request: PendingRequest, now: Moment) {
+        if (request.isRelayedHere && vms.isBypassed()) return refuse(request, DispatchRefusals.CUT_OFF, now)
         val quarantined = quarantine.quarantineOf(request.fingerprint, now)
         if (quarantined != null) return refuse(request, DispatchRefusals.quarantined(quarantined), now)
         val home = homeDirectory.homeOf(request)
@@ -312,6 +327,7 @@
         request.state = PendingRequest.State.Running(home, upstream, now)
         request.crashRecord = quarantine.recordOf(request.fingerprint, now)
         permitReporter.recordGrant(home, request.pool.name, now)
+        reachability.requestSent(upstream, now)
         if (!request.wasSent) retryBudgetOf(request).recordSent()
         request.wasSent = true
         val version = request.slot?.let { owners[request.pool.name]?.record?.version }
@@ -372,18 +388,7 @@
         requests -= request.id
         waiting -= request
         withdraw(request, now)
-        effects.add(Effect.Refuse(request.id, withCorrectReason(request, refusal)))
-    }
-
-    /**
-     * Never reports a request as not run if an earlier attempt may have run, however the last one ended, and reports
-     * whether an upstream has rejected it.
-     */
-    private fun withCorrectReason(request: PendingRequest, refusal: Refusal): Refusal = when {
-        request.runs > 0 && refusal.reason.verdict == Verdict.NotRun -> DispatchRefusals.CONNECTION_BROKEN
-        request.hasReachedUpstream && refusal.reason == Reason.Overloaded -> refusal.copy(reason = Reason.UpstreamBusy)
-        request.hasReachedUpstream && refusal.reason == Reason.NoUpstream -> refusal.copy(reason = Reason.UpstreamBusy)
-        else -> refusal
+        effects.add(Effect.Refuse(request.id, DispatchRefusals.corrected(refusal, request)))
     }
 
     /** Cancels the reservation of [request] if it is still unanswered. */
@@ -430,17 +435,6 @@
         reserve(request, now)
     }
 
-    private fun resultOf(outcome: AttemptOutcome): PermitResult = when (outcome) {
-        is AttemptOutcome.Answered -> PermitResult.Served
-        AttemptOutcome.Truncated, is AttemptOutcome.Lost -> PermitResult.Broken
-        is AttemptOutcome.CallerGone, is AttemptOutcome.Refused -> PermitResult.Unused
-        is AttemptOutcome.NotRun -> when (outcome.cause) {
-            NotRunCause.Unreachable -> PermitResult.Unreachable
-            NotRunCause.Busy -> PermitResult.Busy
-            NotRunCause.NotOwner, NotRunCause.Draining -> PermitResult.Refused
-        }
-    }
-
     private companion object {
         const val MAX_DOUBLINGS = 4
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/HomeDirectory.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/HomeDirectory.kt
@@ -14,7 +14,7 @@
 /**
  * Determines the home VM of a request: the VM that schedules it. In a pool with keys each upstream has its own home, in
  * the upstream's availability zone if that has a VM. In a pool without keys the upstreams of one zone share a home, so
- * that most requests stay within their zone.
+ * that most requests stay within their zone. VMs that reach no upstream are homes only if no VM does.
  */
 internal class HomeDirectory(
     private val vms: VmDirectory,
@@ -47,13 +47,13 @@
 
     private fun homeOf(owner: UpstreamId): VmId {
         val duty = ownerDuties.getOrPut(owner) { "home/$owner" }
-        return vms.responsibleFor(duty, upstreamZones[owner])?.id ?: vms.self
+        return vms.responsibleFor(duty, upstreamZones[owner], needsUpstreams = true)?.id ?: vms.self
     }
 
     /** The home of the upstreams of [pool] in [zone]; also of requests whose slot has no owner at present. */
     private fun homeOf(pool: PoolName, zone: AvailabilityZone?): VmId {
         val duty = zoneDuties.getOrPut(pool to zone) { "home/$pool/${zone ?: ""}" }
-        return vms.responsibleFor(duty, zone)?.id ?: vms.self
+        return vms.responsibleFor(duty, zone, needsUpstreams = true)?.id ?: vms.self
     }
 
     /**
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
@@ -26,6 +26,7 @@
     private var vms: Map<VmId, Vm> = emptyMap()
     private val suspects = HashMap<VmId, Moment>()
     private val leavingVms = HashSet<VmId>()
+    private val cutOffUntil = HashMap<VmId, Moment>()
     private val everListed = LinkedHashSet<VmId>()
     private val lastKnown = HashMap<VmId, Vm>()
     private val missingSince = HashMap<VmId, Moment>()
@@ -103,6 +104,7 @@
         peers = all.filter { it.id != self }
         leavingVms.retainAll(vms.keys)
         suspects.keys.retainAll(vms.keys)
+        cutOffUntil.keys.retainAll { it in vms || it == self }
         lastHeardAt.keys.retainAll(vms.keys)
         missingSince.keys.removeAll(vms.keys)
         everListed.forEach { if (it !in vms) missingSince.putIfAbsent(it, now) }
@@ -120,13 +122,20 @@
 
     /**
      * The VM responsible for [duty] by rendezvous hashing, in [zone] if it has a VM that is neither suspected nor
-     * leaving. Null before a list was received. The result is cached by [duty] alone until the ranking changes, so a
-     * later call with another [zone] may return the VM of the earlier one.
+     * leaving. With [needsUpstreams], VMs that reach no upstream rank behind those that do. Null before a list was
+     * received. The result is cached by [duty] alone until the ranking changes, so a later call with other arguments may
+     * return the VM of the earlier one.
      */
-    fun responsibleFor(duty: String, zone: AvailabilityZone? = null): Vm? = responsibleVms.getOrPut(duty) {
-        all.minWithOrNull(compareBy({ ranksLast(it) }, { zone != null && it.zone != zone }, { score(duty, it.id) }))
-            ?: return null
-    }
+    fun responsibleFor(duty: String, zone: AvailabilityZone? = null, needsUpstreams: Boolean = false): Vm? =
+        responsibleVms.getOrPut(duty) {
+            val order = compareBy<Vm>(
+                { ranksLast(it) },
+                { needsUpstreams && it.id in cutOffUntil },
+                { zone != null && it.zone != zone },
+                { score(duty, it.id) },
+            )
+            all.minWithOrNull(order) ?: return null
+        }
 
     /** The VMs in the order in which they are responsible for [duty]; leaving and suspected ones rank last. */
     fun ranked(duty: String): List<Vm> = rankings.getOrPut(duty) {
@@ -148,9 +157,32 @@
     /** Whether [vm] is suspected, leaving or not listed. */
     fun isSuspectedOrLeaving(vm: VmId): Boolean = vms[vm]?.let(::ranksLast) ?: true
 
-    /** Ends the suspicions that have expired by [now]. */
+    /** Notes that [vm] reaches no upstream, until [until] at least. */
+    fun markCutOff(vm: VmId, until: Moment) {
+        if (vm != self && vm !in vms) return
+        val known = cutOffUntil[vm]
+        cutOffUntil[vm] = maxOf(until, known ?: until)
+        if (known == null) clearRankings()
+    }
+
+    /** Notes that [vm] reaches upstreams. */
+    fun endCutOff(vm: VmId) {
+        if (cutOffUntil.remove(vm) != null) clearRankings()
+    }
+
+    /** Whether [vm] reaches no upstream. */
+    fun isCutOff(vm: VmId): Boolean = vm in cutOffUntil
+
+    /**
+     * Whether this VM reaches no upstream, but another one does. If none does, the upstreams are at fault, and the VMs
+     * keep their roles.
+     */
+    fun isBypassed(): Boolean = self in cutOffUntil && peers.any { it.id !in cutOffUntil && !ranksLast(it) }
+
+    /** Ends the suspicions and the announcements of other VMs that have expired by [now]. */
     fun expireSuspicions(now: Moment) {
-        if (suspects.values.removeIf { it <= now }) clearRankings()
+        val hasEnded = suspects.values.removeIf { it <= now }
+        if (cutOffUntil.values.removeIf { it <= now } || hasEnded) clearRankings()
     }
 
     /** When a message from [vm] was last received; [Moment.PAST] if never. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -13,6 +13,7 @@
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
+import cicadagauge.membership.UpstreamReachability
 import cicadagauge.membership.Vm
 import cicadagauge.membership.VmDirectory
 import cicadagauge.membership.VmRegistration
@@ -44,18 +45,22 @@
     private val vms = VmDirectory(settings.vm, settings.zone, effects, absenceTimeout)
     private val watchers = Watchers(vms, settings.dissemination.watchersPerZone)
     private val recordWatchers = Watchers(vms, settings.dissemination.recordWatchersPerZone)
+    private val reachability = UpstreamReachability(vms, settings.reachability, timers, effects) { _, now ->
+        dispatcher.reachabilityChanged(now)
+    }
     private val owners = OwnerDirectory()
     private val inventory = Inventory(store, timers, settings.dissemination.registrationGrace, ::applyInventory)
     private val quarantine = RequestQuarantine(settings.quarantine, effects) { suspicion, source ->
         disseminator.propagateSuspicion(suspicion, source)
     }
     private val crashDetector = CrashDetector(settings.quarantine, quarantine, effects)
-    private val dispatcher = Dispatcher(
+    private val dispatcher: Dispatcher = Dispatcher(
         vms = vms,
         owners = owners,
         settings = settings.dispatch,
         quarantine = quarantine,
         crashDetector = crashDetector,
+        reachability = reachability,
         timers = timers,
         effects = effects,
         coldUntil = inventory::coldUntil,
@@ -124,7 +129,7 @@
             is Event.RelayArrived -> dispatcher.acceptRelayed(event.id, event.request, event.head, event.timeLeft, now)
             is Event.AttemptEnded -> dispatcher.attemptEnded(event.id, event.outcome, now, event.body)
             is Event.BodyRead -> dispatcher.bodyRead(event.id, event.body, now)
-            is Event.UpstreamChecked -> crashDetector.checked(event.upstream, event.state, now)
+            is Event.UpstreamChecked -> upstreamChecked(event.upstream, event.state, now)
             is Event.CallerDisconnected -> dispatcher.callerLeft(event.id, now)
             is Event.PeerMessageReceived -> handlePeerMessage(event.from, event.message, now)
             is Event.GrantReported -> duties.grantReported(event.report, now)
@@ -202,6 +207,7 @@
             PeerMessage.Ping -> vms.vm(from)?.let { vms.send(it, PeerMessage.Pong) }
             PeerMessage.Pong -> Unit
             PeerMessage.Leaving -> peerLeft(from, now)
+            is PeerMessage.UpstreamsReached -> reachability.announced(from, message, now)
             is PeerMessage.Heat -> duties.heatReported(message, now)
             is PeerMessage.OutageQuery -> duties.answerOutageQuery(from, message, now)
             is PeerMessage.OutagePromise -> duties.promiseReceived(from, message)
@@ -212,6 +218,11 @@
         }
     }
 
+    private fun upstreamChecked(upstream: UpstreamId, state: UpstreamState, now: Moment) {
+        reachability.checked(upstream, state, now)
+        crashDetector.checked(upstream, state, now)
+    }
+
     private fun reserve(from: VmId, message: PeerMessage.Reserve, now: Moment) {
         dispatcher.homeSchedulers.reserve(from, message, now)
         dispatcher.scheduleSweep(now)
@@ -236,6 +247,7 @@
 
     /** Applies a changed set of upstreams or zones to the components that use them. */
     private fun applyInventory(declaration: Declaration, now: Moment) {
+        reachability.configure(declaration)
         dispatcher.configure(declaration, now)
         duties.configure(declaration, now)
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -18,6 +18,7 @@
  * @property dispatch Limits of scheduling, queueing and retries.
  * @property dissemination Times and fan-out of the exchange of declarations and records between VMs.
  * @property quarantine Limits for requests that crash upstreams.
+ * @property reachability Times of the decision whether this VM reaches any upstream.
  * @property listedBeforeReady How long this VM must have been on the list of VMs before it reports itself ready.
  * @property registration The VM as which the node registers itself in the store; null where the platform lists VMs.
  */
@@ -29,6 +30,7 @@
     val dispatch: DispatchSettings = DispatchSettings(),
     val dissemination: DisseminationSettings = DisseminationSettings(),
     val quarantine: QuarantineSettings = QuarantineSettings(),
+    val reachability: ReachabilitySettings = ReachabilitySettings(),
     val listedBeforeReady: Duration = 1.seconds,
     val registration: Vm? = null,
 )
@@ -232,6 +234,28 @@
     val maxCrashesPerSecond: Int = 2,
 )
 
+/**
+ * Times of the decision whether this VM reaches any upstream, and of its announcement to the other VMs.
+ *
+ * @property evidenceLifetime How long a failed attempt at an upstream counts.
+ * @property silence How long the upstreams at which requests run may all leave them unanswered before new connections
+ * are tried.
+ * @property silenceCheckInterval Interval at which that is checked while requests run.
+ * @property checkPause Shortest time from a check in which a connection was accepted to the next one.
+ * @property returnProbeInterval Interval at which a VM that reaches no upstream tries to connect to some.
+ * @property announcementInterval Interval at which such a VM repeats its announcement.
+ * @property announcementLifetime How long an announcement that is not repeated counts.
+ */
+public data class ReachabilitySettings(
+    val evidenceLifetime: Duration = 1.seconds,
+    val silence: Duration = 400.milliseconds,
+    val silenceCheckInterval: Duration = 100.milliseconds,
+    val checkPause: Duration = 1.seconds,
+    val returnProbeInterval: Duration = 250.milliseconds,
+    val announcementInterval: Duration = 2.seconds,
+    val announcementLifetime: Duration = 5.seconds,
+)
+
 /**
  * Times and fan-out of the exchange of declarations and records between VMs, and of the store watches behind it.
  *
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
@@ -39,7 +39,7 @@
 
     /** Handles the outcome of the check of [upstream]. */
     fun checked(upstream: UpstreamId, state: UpstreamState, now: Moment) {
-        val running = checks.remove(upstream).orEmpty()
+        val running = checks.remove(upstream) ?: return
         if (state != UpstreamState.Refusing) return
         effects.add(Effect.StateChanged(StateChange.UpstreamCrashed(upstream, running.keys)))
         if (isOneOfMany(now)) return
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
@@ -13,6 +13,7 @@
 import cicadagauge.identity.RequestId
 import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
+import cicadagauge.membership.UpstreamReachability
 import cicadagauge.membership.Vm
 import cicadagauge.membership.VmDirectory
 import cicadagauge.node.DispatchSettings
@@ -20,6 +21,7 @@
 import cicadagauge.node.Effects
 import cicadagauge.node.HomePolicy
 import cicadagauge.node.QuarantineSettings
+import cicadagauge.node.ReachabilitySettings
 import cicadagauge.node.Timers
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
@@ -52,6 +54,7 @@
         settings = settings,
         quarantine = quarantine,
         crashDetector = CrashDetector(quarantineSettings, quarantine, effects),
+        reachability = UpstreamReachability(vms, ReachabilitySettings(), timers, effects) { _, _ -> },
         timers = timers,
         effects = effects,
         coldUntil = { Moment.PAST },
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -54,6 +54,7 @@
             "source" to change.source,
         )
         is StateChange.Suspended -> write("suspended", "unseen" to change.unseen)
+        is StateChange.UpstreamsReached -> write("upstreams-reached", "reached" to change.reached)
         is StateChange.StoreReachable -> write("store-reachable", "reachable" to change.reachable)
     }
 
