Hand over the duties of an allocator that reaches no upstream

Cause: the allocator kept its duty, since the store answered it, and could not renew the grants. They ran out for everybody.

Evidence: VmWithoutUpstreamsTest.

Change: a VM that reaches no upstream, while others do, deletes its duty keys and tells all VMs that its allocators have stopped, as in a planned stop, and takes no duty meanwhile. While it checks, it plans no change of owners. The first records of terms move out of PoolDuty.

The new test of the handover expects it of VMs that have noticed the cut where open connections live on: one whose open connections are enough for its load has no failure to notice, and its grants are renewed.

--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/outcomes/VmWithoutUpstreamsTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/outcomes/VmWithoutUpstreamsTest.kt
@@ -8,6 +8,7 @@
 import cicadagauge.bench.virtual.VirtualFleet
 import cicadagauge.bench.virtual.VirtualUpstream
 import cicadagauge.bench.virtual.VirtualVm
+import cicadagauge.identity.PoolName
 import cicadagauge.node.Effect
 import cicadagauge.node.StateChange
 import cicadagauge.outcome.Reason
@@ -17,6 +18,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.doubles.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
 import java.util.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -71,6 +73,9 @@
         changes += "${fleet.time.now / NANOS_PER_MILLISECOND} ms ${vm.id} $change"
     }
 
+    /** The VMs that hold the duty of [pool]. */
+    fun allocatorsOf(pool: PoolName): List<VirtualVm> = fleet.vms.filter { pool in it.status().duties }
+
     /** Sends requests for [duration] and returns what callers saw at the VMs in [apart] and at all others. */
     fun run(duration: Duration, apart: Collection<VirtualVm> = emptyList()): Pair<Tally, Tally> {
         val atApart = Tally()
@@ -111,9 +116,12 @@
 /** Tests, under virtual time, that VMs which reach no upstream serve their callers through other VMs. */
 class VmWithoutUpstreamsTest :
     FunSpec({
+        val catalogue = PoolName("catalogue")
         val cuts = mapOf<String, (CutOffLoad) -> List<VirtualVm>>(
+            "an allocator" to { load -> load.allocatorsOf(catalogue) },
             "a VM without duties" to { load -> load.fleet.vms.filter { it.status().duties.isEmpty() }.take(1) },
             "all VMs of a zone" to { load -> load.fleet.vms.filter { it.zone == load.fleet.vms.first().zone } },
+            "four of nine VMs" to { load -> load.fleet.vms.filterIndexed { index, _ -> index % 2 == 1 } },
         )
 
         for (kind in CutKind.entries) {
@@ -141,6 +149,21 @@
                     }
                 }
             }
+
+            test("an allocator without upstreams hands its duties over: $kind") {
+                for (seed in 1L..3L) {
+                    val load = CutOffLoad(seed)
+                    val apart = load.allocatorsOf(catalogue)
+                    apart.forEach { load.fleet.connections.cut(it, load.fleet.upstreams.values, kind) }
+                    load.run(CONTACT)
+                    // Where the open connections are enough for the load, such a VM lacks nothing yet.
+                    val informed = if (kind == CutKind.LiveOn) apart.filter { it in load.cutReports } else apart
+                    withClue("$load") {
+                        informed.flatMap { it.status().duties }.shouldBeEmpty()
+                        load.allocatorsOf(catalogue).size shouldBe 1
+                    }
+                }
+            }
         }
 
         val outages = mapOf<String, (VirtualUpstream) -> Boolean>(
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -45,8 +45,9 @@
     private val vms = VmDirectory(settings.vm, settings.zone, effects, absenceTimeout)
     private val watchers = Watchers(vms, settings.dissemination.watchersPerZone)
     private val recordWatchers = Watchers(vms, settings.dissemination.recordWatchersPerZone)
-    private val reachability = UpstreamReachability(vms, settings.reachability, timers, effects) { _, now ->
+    private val reachability = UpstreamReachability(vms, settings.reachability, timers, effects) { isOwn, now ->
         dispatcher.reachabilityChanged(now)
+        duties.reachabilityChanged(isOwn, now)
     }
     private val owners = OwnerDirectory()
     private val inventory = Inventory(store, timers, settings.dissemination.registrationGrace, ::applyInventory)
@@ -77,7 +78,7 @@
     private val registration = settings.registration?.let { vm ->
         VmRegistration(vm, codecs.vms, store, lease, timers, settings.ownership.registrationRetry, ::listed)
     }
-    private val duties = DutyManager(
+    private val duties: DutyManager = DutyManager(
         DutyServices(
             vms = vms,
             watchers = watchers,
@@ -90,6 +91,7 @@
             owners = owners,
             orders = orders,
             lease = lease,
+            reachability = reachability,
         ),
     )
     private val storeWatchers = listOf(
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -8,6 +8,7 @@
 import cicadagauge.identity.Moment
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.VmId
+import cicadagauge.membership.UpstreamReachability
 import cicadagauge.membership.VmDirectory
 import cicadagauge.membership.Watchers
 import cicadagauge.node.Effect
@@ -20,6 +21,7 @@
 import cicadagauge.store.StoreClient
 import cicadagauge.store.StoreRevision
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The dependencies that all duties of one VM share. */
 internal class DutyServices(
@@ -34,6 +36,7 @@
     val owners: OwnerDirectory,
     val orders: RangeOrders,
     val lease: ProcessLease,
+    val reachability: UpstreamReachability,
 )
 
 /** Announces to all VMs a record that is in force. */
@@ -140,6 +143,18 @@
         if (!isStopping) duties.values.forEach { it.takeIfDue(now) }
     }
 
+    /**
+     * Gives up every duty if this VM reaches no upstream, but others do; takes vacant ones if it may again. If not this
+     * VM has found out, but another one reaches upstreams again, this one gets time to find out the same.
+     */
+    fun reachabilityChanged(isOwn: Boolean, now: Moment) = when {
+        !vms.isBypassed() -> takeVacantDuties(now)
+        isOwn -> handOverToReaching(now)
+        else -> dependencies.timers.at(now + RETURN_TIME, ::handOverToReaching)
+    }
+
+    private fun handOverToReaching(now: Moment): Unit = duties.values.forEach { it.handOverToReaching(now) }
+
     /** Gives up every duty, and adds [Effect.DutiesHandedOver] once all are given up. */
     fun stop() {
         if (isStopping) return
@@ -156,4 +171,8 @@
     private fun leaseLapsed(now: Moment) {
         duties.values.forEach { it.keyDeleted(now) }
     }
+
+    private companion object {
+        val RETURN_TIME: Duration = 700.milliseconds
+    }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
@@ -9,7 +9,6 @@
 import cicadagauge.declaration.Placement
 import cicadagauge.declaration.Pool
 import cicadagauge.identity.Moment
-import cicadagauge.identity.RecordVersion
 import cicadagauge.identity.Term
 import cicadagauge.identity.VmId
 import cicadagauge.node.Effect
@@ -36,7 +35,9 @@
     private val settings = dependencies.settings
     private val timers = dependencies.timers
     private val effects = dependencies.effects
+    private val records = TermRecords(vms)
     private var isStopping = false
+    private var isHandingOver = false
     private val dutyKey = StoreKey(StoreKeys.DUTIES + pool.name)
     private val recordKey = StoreKey(StoreKeys.RECORDS + pool.name)
     private var vacantSince: Moment? = since
@@ -84,7 +85,8 @@
 
     /** Takes the duty if it is vacant, once every VM that ranks before this one has had time to take it. */
     fun takeIfDue(now: Moment) {
-        if (isStopping || isTakingDuty || allocator != null || !vms.hasList()) return
+        if (isStopping || isHandingOver || isTakingDuty || allocator != null || !vms.hasList()) return
+        if (vms.isBypassed()) return
         if (isOwnKey) return resume(now)
         val since = vacantSince ?: return
         val rank = ownRank()
@@ -107,7 +109,8 @@
 
     private fun ownRank(): Int {
         val eligible = dependencies.watchers.eligible()
-        return vms.ranked(dutyKey.value).filter { it.id in eligible }.indexOfFirst { it.id == vms.self }
+        return vms.ranked(dutyKey.value).filter { it.id in eligible }.sortedBy { vms.isCutOff(it.id) }
+            .indexOfFirst { it.id == vms.self }
     }
 
     /**
@@ -163,7 +166,7 @@
             val own = allocator
             when {
                 reply.entry.value != null && stored == null -> giveUpKey(moment)
-                own == null -> writeTerm(stored?.let(::successor) ?: firstRecord(), reply.entry.revision)
+                own == null -> writeTerm(stored?.let(records::successor) ?: records.first(pool, declaration), reply.entry.revision)
                 stored?.term == own.term -> termResumed(reply.entry.revision, moment)
                 else -> {
                     dutyLost(moment)
@@ -177,6 +180,7 @@
         isTakingDuty = false
         recordRevision = revision
         heldSince = now
+        handOverToReaching(now)
     }
 
     private fun writeTerm(record: OwnershipRecord, expect: StoreRevision) {
@@ -207,33 +211,7 @@
                 start = now,
             )
         }
-    }
-
-    private fun firstRecord(): OwnershipRecord = OwnershipRecord(
-        pool = pool.name,
-        term = Term.NONE.next(),
-        version = RecordVersion.NONE.next(),
-        allocator = vms.self,
-        slots = pool.slots,
-        members = if (pool.placement == Placement.Ranges) emptyList() else firstMembers(),
-        backedElsewhere = vms.hasSeveralZones,
-    )
-
-    private fun firstMembers() = pool.upstreams.map { upstream ->
-        Member(upstream.id, if (declaration.isOut(upstream)) Member.NO_SHARE else Member.FULL_SHARE)
-    }
-
-    /** The record of the next term. Each range gets a new fence, so that its owner refuses every earlier allocator. */
-    private fun successor(record: OwnershipRecord): OwnershipRecord {
-        val version = record.version.next()
-        return record.copy(
-            term = record.term.next(),
-            version = version,
-            allocator = vms.self,
-            predecessors = record.predecessors + record.allocator,
-            ranges = record.ranges.map { it.copy(fence = version) },
-            backedElsewhere = record.backedElsewhere && vms.hasSeveralZones,
-        )
+        handOverToReaching(now)
     }
 
     /**
@@ -258,7 +236,7 @@
     }
 
     private fun retakeKey(now: Moment) {
-        if (allocator == null || isStopping) return endAttempt(now)
+        if (allocator == null || isStopping || isHandingOver) return endAttempt(now)
         if (lease.id == null) return timers.at(now + settings.storeRetry, ::retakeKey)
         store.call(StoreCall.Put(dutyKey, vms.self.value, StoreRevision.ABSENT, lease.id)) { reply, moment ->
             val current = (reply as? StoreReply.Conflict)?.current
@@ -276,6 +254,7 @@
     }
 
     override fun confirmedSince(now: Moment): Moment? {
+        if (dependencies.reachability.isInDoubt) return null
         val term = allocator?.term
         if (now < lease.validUntil && !isTakingDuty) return heldSince
         if (term == null || !isStoreOut(now)) return null
@@ -358,14 +337,43 @@
     fun handOver(onHandedOver: () -> Unit) {
         isStopping = true
         heldSince = null
-        val term = allocator?.term ?: return onHandedOver()
+        if (allocator == null) return onHandedOver()
+        release(onRetry = { handOver(onHandedOver) }, onReleased = { onHandedOver() })
+    }
+
+    /**
+     * Gives up the duty while this VM reaches no upstream, but others do. Continues with it if upstreams are back before
+     * the store has answered.
+     */
+    fun handOverToReaching(now: Moment) {
+        if (allocator == null || isTakingDuty || isStopping || isHandingOver || !vms.isBypassed()) return
+        isHandingOver = true
+        continueHandOver(now)
+    }
+
+    private fun continueHandOver(now: Moment) {
+        if (allocator == null || !vms.isBypassed()) return handOverEnded(now)
+        heldSince = null
+        release(onRetry = ::continueHandOver, onReleased = ::handOverEnded)
+    }
+
+    private fun handOverEnded(now: Moment) {
+        isHandingOver = false
+        if (allocator == null || isStopping) return takeIfDue(now)
+        isTakingDuty = true
+        acquireTerm(now)
+    }
+
+    /** Deletes the key and tells all VMs that the allocator has stopped; [onRetry] follows if the store is out. */
+    private fun release(onRetry: (Moment) -> Unit, onReleased: (Moment) -> Unit) {
+        val term = allocator?.term ?: return
         store.call(StoreCall.Delete(dutyKey, keyRevision)) { reply, moment ->
             if (reply == StoreReply.Unavailable && allocator != null) {
-                timers.at(moment + settings.storeRetry) { handOver(onHandedOver) }
+                timers.at(moment + settings.storeRetry, onRetry)
             } else {
                 dutyLost(moment)
                 vms.peers.forEach { vms.send(it, PeerMessage.Yielded(pool.name, term.next())) }
-                onHandedOver()
+                onReleased(moment)
             }
         }
     }
