Don't blame requests for upstreams that a cut-off VM can't reach

Callers: a request with the same content could be refused as quarantined on all VMs for 10 minutes, although it had crashed nothing: on a VM that is cut off with resets, connections with requests on them break and new ones are refused, which is what counts as a crash.

Cause: the crash detector compared nothing with the VM's other upstreams.

Change: before a request is blamed, another upstream must accept a connection, which costs one connection for each crash.

--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/outcomes/VmWithoutUpstreamsTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/outcomes/VmWithoutUpstreamsTest.kt
@@ -37,8 +37,16 @@
     override fun toString(): String = "$served of $sent served, $refusals"
 }
 
-/** Sends a steady load of all kinds of requests to all VMs of a fleet, some of which are cut off from all upstreams. */
-private class CutOffLoad(private val seed: Long) : FleetObserver {
+/**
+ * Sends a steady load of all kinds of requests to all VMs of a fleet, some of which are cut off from all upstreams. Each
+ * request has a path of its own, and upstreams take [serviceTime] for it.
+ */
+private class CutOffLoad(
+    private val seed: Long,
+    requestsPerSecond: Int = 450,
+    serviceTime: Duration = 5.milliseconds,
+) : FleetObserver {
+    private val interval = 1.seconds / requestsPerSecond
     private val shape = DeploymentShape.HOSHIZORA
     private val random = Random(seed)
     private val traffic = shape.traffic.flatMap { kind -> List(kind.weight) { kind } }
@@ -46,7 +54,7 @@
     private val changes = ArrayList<String>()
     private var sent = 0
 
-    val fleet = VirtualFleet(FleetSettings(shape, seed = seed), this).start()
+    val fleet = VirtualFleet(FleetSettings(shape, seed = seed, serviceTime = serviceTime), this).start()
 
     /** The VMs that have reported that they reach no upstream. */
     val cutReports = ArrayList<VirtualVm>()
@@ -76,16 +84,22 @@
     /** The VMs that hold the duty of [pool]. */
     fun allocatorsOf(pool: PoolName): List<VirtualVm> = fleet.vms.filter { pool in it.status().duties }
 
-    /** Sends requests for [duration] and returns what callers saw at the VMs in [apart] and at all others. */
+    /** Sends requests for [duration], awaits their results and returns those at the VMs in [apart] and at all others. */
+    fun measure(duration: Duration, apart: Collection<VirtualVm> = emptyList()): Pair<Tally, Tally> {
+        val tallies = run(duration, apart)
+        fleet.time.advanceBy(DEADLINE)
+        return tallies
+    }
+
+    /** Sends requests for [duration]. */
     fun run(duration: Duration, apart: Collection<VirtualVm> = emptyList()): Pair<Tally, Tally> {
         val atApart = Tally()
         val atOthers = Tally()
-        repeat((duration / INTERVAL).toInt()) {
+        repeat((duration / interval).toInt()) {
             val vm = fleet.vms[random.nextInt(fleet.vms.size)]
             sendOne(vm, if (vm in apart) atApart else atOthers)
-            fleet.time.advanceBy(INTERVAL)
+            fleet.time.advanceBy(interval)
         }
-        fleet.time.advanceBy(DEADLINE)
         return atApart to atOthers
     }
 
@@ -108,7 +122,6 @@
         const val LARGE_CUSTOMERS = 2
         const val MAX_SHOWN_CHANGES = 60
         const val NANOS_PER_MILLISECOND = 1_000_000
-        val INTERVAL = 1.seconds / 450
         val DEADLINE = 300.milliseconds
     }
 }
@@ -132,7 +145,7 @@
                         val apart = choose(load)
                         apart.forEach { load.fleet.connections.cut(it, load.fleet.upstreams.values, kind) }
                         load.run(CONTACT)
-                        val (atApart, atOthers) = load.run(6.seconds, apart)
+                        val (atApart, atOthers) = load.measure(6.seconds, apart)
                         withClue("cut off: $atApart; others: $atOthers; $load") {
                             (atApart.servedShare / atOthers.servedShare) shouldBeGreaterThanOrEqual MIN_SHARE
                             atApart.failed shouldBeLessThanOrEqual allowedFailures(atApart)
@@ -142,7 +155,7 @@
                         }
                         apart.forEach(load.fleet.connections::heal)
                         load.run(CONTACT)
-                        val (afterwards, _) = load.run(3.seconds, apart)
+                        val (afterwards, _) = load.measure(3.seconds, apart)
                         withClue("afterwards: $afterwards; $load") {
                             afterwards.failed shouldBeLessThanOrEqual allowedFailures(afterwards)
                         }
@@ -166,6 +179,20 @@
             }
         }
 
+        for (kind in CutKind.entries) {
+            test("no request is quarantined because VMs are cut off while it runs: $kind") {
+                for (seed in 1L..3L) {
+                    val load = CutOffLoad(seed, requestsPerSecond = 100, serviceTime = 150.milliseconds)
+                    for (vm in load.fleet.vms.take(6)) {
+                        load.fleet.connections.cut(vm, load.fleet.upstreams.values, kind)
+                        load.run(100.milliseconds)
+                    }
+                    load.run(1.seconds)
+                    withClue("$load") { load.quarantined.shouldBeEmpty() }
+                }
+            }
+        }
+
         val outages = mapOf<String, (VirtualUpstream) -> Boolean>(
             "all upstreams of a pool" to { it.pool.value == "catalogue" },
             "all upstreams of a zone" to { it.declared.zone.value == DeploymentShape.HOSHIZORA.zones.first() },
@@ -189,7 +216,7 @@
                 load.run(CONTACT)
                 load.fleet.upstreams.values.forEach { it.restart() }
                 load.run(CONTACT)
-                val (_, all) = load.run(3.seconds)
+                val (_, all) = load.measure(3.seconds)
                 withClue("$all; $load") { all.failed shouldBeLessThanOrEqual allowedFailures(all) }
             }
         }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -54,7 +54,7 @@
     private val quarantine = RequestQuarantine(settings.quarantine, effects) { suspicion, source ->
         disseminator.propagateSuspicion(suspicion, source)
     }
-    private val crashDetector = CrashDetector(settings.quarantine, quarantine, effects)
+    private val crashDetector = CrashDetector(settings.quarantine, quarantine, effects, reachability)
     private val dispatcher: Dispatcher = Dispatcher(
         vms = vms,
         owners = owners,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
@@ -4,6 +4,7 @@
 import cicadagauge.identity.Moment
 import cicadagauge.identity.RequestFingerprint
 import cicadagauge.identity.UpstreamId
+import cicadagauge.membership.ReachabilityCheck
 import cicadagauge.node.Effect
 import cicadagauge.node.Effects
 import cicadagauge.node.QuarantineSettings
@@ -15,12 +16,14 @@
 
 /**
  * Distinguishes upstreams that have crashed from those that closed a connection: after a connection broke, a new one is
- * opened. An upstream that refuses it counts as crashed by one of the requests that were running there.
+ * opened. An upstream that refuses it counts as crashed by one of the requests that were running there, unless this VM
+ * reaches no upstream at all.
  */
 internal class CrashDetector(
     private val settings: QuarantineSettings,
     private val quarantine: RequestQuarantine,
     private val effects: Effects,
+    private val reachability: ReachabilityCheck,
 ) {
     private val checks = HashMap<UpstreamId, MutableMap<RequestFingerprint, CrashRecord>>()
     private val lastCrashes = ArrayDeque<Moment>()
@@ -41,6 +44,10 @@
     fun checked(upstream: UpstreamId, state: UpstreamState, now: Moment) {
         val running = checks.remove(upstream) ?: return
         if (state != UpstreamState.Refusing) return
+        reachability.check(now) { reachesUpstreams, moment -> if (reachesUpstreams) crashed(upstream, running, moment) }
+    }
+
+    private fun crashed(upstream: UpstreamId, running: Map<RequestFingerprint, CrashRecord>, now: Moment) {
         effects.add(Effect.StateChanged(StateChange.UpstreamCrashed(upstream, running.keys)))
         if (isOneOfMany(now)) return
         running.forEach { (fingerprint, before) -> quarantine.crashed(fingerprint, before, now) }
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
@@ -48,13 +48,14 @@
     private val settings = DispatchSettings(homes = HomePolicy.Local)
     private val quarantineSettings = QuarantineSettings()
     private val quarantine = RequestQuarantine(quarantineSettings, effects) { _, _ -> }
+    private val reachability = UpstreamReachability(vms, ReachabilitySettings(), timers, effects) { _, _ -> }
     private val dispatcher = Dispatcher(
         vms = vms,
         owners = OwnerDirectory(),
         settings = settings,
         quarantine = quarantine,
-        crashDetector = CrashDetector(quarantineSettings, quarantine, effects),
-        reachability = UpstreamReachability(vms, ReachabilitySettings(), timers, effects) { _, _ -> },
+        crashDetector = CrashDetector(quarantineSettings, quarantine, effects, reachability),
+        reachability = reachability,
         timers = timers,
         effects = effects,
         coldUntil = { Moment.PAST },
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/quarantine/RequestQuarantineTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/quarantine/RequestQuarantineTest.kt
@@ -23,11 +23,14 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
-private class QuarantineFixture(settings: QuarantineSettings = QuarantineSettings()) {
+private class QuarantineFixture(
+    settings: QuarantineSettings = QuarantineSettings(),
+    reachesUpstreams: Boolean = true,
+) {
     val published = ArrayList<CrashSuspicion>()
     val effects = Effects()
     val quarantine = RequestQuarantine(settings, effects) { suspicion, _ -> published += suspicion }
-    val detector = CrashDetector(settings, quarantine, effects)
+    val detector = CrashDetector(settings, quarantine, effects) { now, onChecked -> onChecked(reachesUpstreams, now) }
 
     /** Lets the request with [fingerprint] crash the upstream [name], which then shows [state]. */
     fun crash(
@@ -69,6 +72,14 @@
             fixture.quarantine.recordOf(request, start).crashes shouldBe 1
         }
 
+        test("no request is blamed for upstreams that refuse connections because this VM is cut off from all") {
+            val fixture = QuarantineFixture(reachesUpstreams = false)
+            repeat(3) { fixture.crash(request, "u-$it", start + it.seconds) }
+            fixture.quarantine.quarantineOf(request, start + 3.seconds) shouldBe null
+            fixture.published shouldBe emptyList()
+            fixture.effects.take().filterIsInstance<Effect.StateChanged>() shouldBe emptyList()
+        }
+
         test("an upstream that still accepts connections, or does not answer, has not crashed") {
             val fixture = QuarantineFixture()
             for (state in listOf(UpstreamState.Accepting, UpstreamState.Silent)) {
