Don't take the owners of ranges for gone while this VM is cut off

Risk: two upstreams could have held the same keys. An upstream that refuses a connection counts as ended, and its range goes to another owner without waiting for its hold to expire. An allocator that is cut off with refusals sees that of all owners, though all are running.

Change: that an owner is gone is believed once another upstream accepts a connection; otherwise the order counts as not answered, so that the range stays until its hold has expired. Orders without an answer are evidence of a cut, for an allocator with few requests of its own.

--- a/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeSimulation.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeSimulation.kt
@@ -191,7 +191,7 @@
     inner class SimulatedAllocator(private val vm: VmId, initial: OwnershipRecord) : AllocatorContext {
         private val effects = Effects()
         private val timers = Timers()
-        private val orders = RangeOrders(effects)
+        private val orders = RangeOrders(effects, { now, onChecked -> onChecked(true, now) })
         private val vms = VmDirectory(vm, AvailabilityZone("a"), effects)
         private var isPaused = false
         private val deferred = ArrayDeque<() -> Unit>()
