--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualConnections.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualConnections.kt
@@ -91,10 +91,7 @@
         if (cuts[vm.id]?.kind == CutKind.Hang) CONNECT_TIMEOUT else network.delay(vm.endpoint, upstream.endpoint) * 2
 
     /** An attempt over one connection. */
-    inner class Attempt internal constructor(
-        private val path: Path,
-        private val onEnded: (AttemptOutcome) -> Unit,
-    ) {
+    inner class Attempt internal constructor(private val path: Path, private val onEnded: (AttemptOutcome) -> Unit) {
         private var hasEnded = false
 
         /** Ends the attempt with [outcome], unless it has ended. The connection of an answered one is kept. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -176,7 +176,8 @@
         request.state = PendingRequest.State.Idle
         reachability.attemptEnded(state.upstream, state.since, outcome, now)
         val slowness = (outcome as? AttemptOutcome.Answered)?.slowness
-        val message = PeerMessage.Release(request.pool.name, request.id, PermitResults.of(outcome), now - state.since, slowness)
+        val result = PermitResults.of(outcome)
+        val message = PeerMessage.Release(request.pool.name, request.id, result, now - state.since, slowness)
         release(state.home, message, now)
         when (outcome) {
             is AttemptOutcome.Answered -> {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamSilence.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamSilence.kt
@@ -30,8 +30,7 @@
     }
 
     /** Whether requests run at several upstreams, and none has answered for [ReachabilitySettings.silence]. */
-    fun isUniversal(now: Moment): Boolean =
-        running.size > 1 && now - maxOf(busySince, lastAnswerAt) >= settings.silence
+    fun isUniversal(now: Moment): Boolean = running.size > 1 && now - maxOf(busySince, lastAnswerAt) >= settings.silence
 
     /** Begins anew. */
     fun reset(now: Moment) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
@@ -123,8 +123,8 @@
     /**
      * The VM responsible for [duty] by rendezvous hashing, in [zone] if it has a VM that is neither suspected nor
      * leaving. With [needsUpstreams], VMs that reach no upstream rank behind those that do. Null before a list was
-     * received. The result is cached by [duty] alone until the ranking changes, so a later call with other arguments may
-     * return the VM of the earlier one.
+     * received. The result is cached by [duty] alone until the ranking changes, so a later call with other arguments
+     * may return the VM of the earlier one.
      */
     fun responsibleFor(duty: String, zone: AvailabilityZone? = null, needsUpstreams: Boolean = false): Vm? =
         responsibleVms.getOrPut(duty) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
@@ -166,7 +166,7 @@
             val own = allocator
             when {
                 reply.entry.value != null && stored == null -> giveUpKey(moment)
-                own == null -> writeTerm(stored?.let(records::successor) ?: records.first(pool, declaration), reply.entry.revision)
+                own == null -> writeTerm(records.next(stored, pool, declaration), reply.entry.revision)
                 stored?.term == own.term -> termResumed(reply.entry.revision, moment)
                 else -> {
                     dutyLost(moment)
@@ -342,8 +342,8 @@
     }
 
     /**
-     * Gives up the duty while this VM reaches no upstream, but others do. Continues with it if upstreams are back before
-     * the store has answered.
+     * Gives up the duty while this VM reaches no upstream, but others do. Continues with it if upstreams are back
+     * before the store has answered.
      */
     fun handOverToReaching(now: Moment) {
         if (allocator == null || isTakingDuty || isStopping || isHandingOver || !vms.isBypassed()) return
@@ -352,12 +352,10 @@
     }
 
     private fun continueHandOver(now: Moment) {
-        if (allocator == null || !vms.isBypassed()) return handOverEnded(now)
         heldSince = null
-        release(onRetry = ::continueHandOver, onReleased = ::handOverEnded)
-    }
-
-    private fun handOverEnded(now: Moment) {
+        if (allocator != null && vms.isBypassed()) {
+            return release(onRetry = ::continueHandOver, onReleased = ::continueHandOver)
+        }
         isHandingOver = false
         if (allocator == null || isStopping) return takeIfDue(now)
         isTakingDuty = true
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/TermRecords.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/TermRecords.kt
@@ -9,8 +9,11 @@
 
 /** The ownership records with which this VM begins a term. */
 internal class TermRecords(private val vms: VmDirectory) {
-    /** The record of the first term of [pool], which [declaration] contains. */
-    fun first(pool: Pool, declaration: Declaration): OwnershipRecord = OwnershipRecord(
+    /** The record of the term after that of [stored], or of the first one of [pool], which [declaration] contains. */
+    fun next(stored: OwnershipRecord?, pool: Pool, declaration: Declaration): OwnershipRecord =
+        stored?.let(::successor) ?: first(pool, declaration)
+
+    private fun first(pool: Pool, declaration: Declaration): OwnershipRecord = OwnershipRecord(
         pool = pool.name,
         term = Term.NONE.next(),
         version = RecordVersion.NONE.next(),
@@ -20,8 +23,8 @@
         backedElsewhere = vms.hasSeveralZones,
     )
 
-    /** The record of the term after [record]'s. Each range gets a new fence, so that owners refuse earlier allocators. */
-    fun successor(record: OwnershipRecord): OwnershipRecord {
+    /** The record of the next term. Each range gets a new fence, so that its owner refuses every earlier allocator. */
+    private fun successor(record: OwnershipRecord): OwnershipRecord {
         val version = record.version.next()
         return record.copy(
             term = record.term.next(),
