Repeat only the latest announcement of a VM without upstreams

A VM that lost its upstreams twice within two seconds repeated its announcement twice in each interval, since the timer of the first one went on. Now a repetition is due only if nothing was announced after it.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamReachability.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamReachability.kt
@@ -185,8 +185,9 @@
     private fun announce(now: Moment) {
         val message = PeerMessage.UpstreamsReached(reachesUpstreams, ++sequence)
         vms.peers.forEach { vms.send(it, message) }
-        val announced = reachesUpstreams
-        timers.at(now + settings.announcementInterval) { if (!announced && !reachesUpstreams) announce(it) }
+        timers.at(now + settings.announcementInterval) {
+            if (!reachesUpstreams && sequence == message.sequence) announce(it)
+        }
     }
 
     private fun probeForReturn(now: Moment) {
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/membership/UpstreamReachabilityTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/membership/UpstreamReachabilityTest.kt
@@ -169,6 +169,19 @@
             fixture.checked.shouldBeEmpty()
         }
 
+        test("a VM that loses its upstreams twice repeats only the later announcement") {
+            var state = UpstreamState.Refusing
+            val fixture = ReachabilityFixture { state }
+            fixture.fail("p-a", "q-a")
+            fixture.pass(200.milliseconds)
+            state = UpstreamState.Accepting
+            fixture.pass(900.milliseconds)
+            state = UpstreamState.Refusing
+            fixture.fail("p-a", "q-a")
+            fixture.pass(1_800.milliseconds)
+            fixture.announced.distinct().size shouldBe 3
+        }
+
         test("no VM is bypassed where none reaches an upstream") {
             val fixture = ReachabilityFixture { UpstreamState.Refusing }
             fixture.fail("p-a", "q-a")
