Notice the cut of a VM that is home of a single upstream

Cause: two upstreams had to fail before new connections were tried.

Change: two failed connections within a second are enough, also to the same upstream. The connections that are tried then tell whether it is the upstream, at one a second at most.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamReachability.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamReachability.kt
@@ -29,8 +29,8 @@
  * Whether this VM reaches any upstream, and the announcements of that between the VMs. [onChange] is called after the
  * set of VMs without upstreams has changed, with whether it is this VM that has lost or regained them.
  *
- * Attempts that fail at several upstreams are evidence of a cut, but the upstreams themselves may be at fault. So new
- * connections are tried, first to one upstream, then to others of as many availability zones and pools as possible. A
+ * Attempts that fail one after the other are evidence of a cut, but the upstreams themselves may be at fault. So new
+ * connections are tried, first to another upstream, then to others of as many availability zones and pools as possible. A
  * single accepted connection proves that there is no cut.
  */
 internal class UpstreamReachability(
@@ -91,8 +91,9 @@
     fun failed(upstream: UpstreamId, now: Moment) {
         if (upstream !in selector || !reachesUpstreams) return
         failures.values.removeIf { it + settings.evidenceLifetime <= now }
+        val hasEvidence = failures.isNotEmpty()
         failures[upstream] = now
-        if (failures.size >= minOf(MIN_FAILURES, selector.size)) startCheck(now)
+        if (hasEvidence) startCheck(now)
     }
 
     /** Handles the result of [Effect.CheckUpstream], whoever has asked for it. */
@@ -107,7 +108,7 @@
 
     override fun check(now: Moment, onChecked: (Boolean, Moment) -> Unit) {
         if (!reachesUpstreams) return onChecked(false, now)
-        if (selector.size < MIN_FAILURES) return onChecked(true, now)
+        if (selector.size < MIN_UPSTREAMS) return onChecked(true, now)
         waiting += onChecked
         nextCheckAt = Moment.PAST
         startCheck(now)
@@ -201,8 +202,8 @@
     }
 
     private companion object {
-        /** A single upstream that fails is most likely at fault itself. */
-        const val MIN_FAILURES = 2
+        /** A VM that has a single upstream can't tell which of the two is at fault. */
+        const val MIN_UPSTREAMS = 2
 
         /** How many upstreams each round of a check tries; one is enough where there is no cut. */
         val ROUND_SIZES = listOf(1, 3)
