--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamReachability.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamReachability.kt
@@ -30,7 +30,7 @@
  * set of VMs without upstreams has changed, with whether it is this VM that has lost or regained them.
  *
  * Attempts that fail one after the other are evidence of a cut, but the upstreams themselves may be at fault. So new
- * connections are tried, first to another upstream, then to others of as many availability zones and pools as possible. A
+ * connections are tried, first to another upstream, then to some of as many availability zones and pools as possible. A
  * single accepted connection proves that there is no cut.
  */
 internal class UpstreamReachability(
