--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
@@ -13,6 +13,7 @@
 import cicadagauge.identity.RequestId
 import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
+import cicadagauge.membership.UpstreamReachability
 import cicadagauge.membership.Vm
 import cicadagauge.membership.VmDirectory
 import cicadagauge.node.DispatchSettings
@@ -20,6 +21,7 @@
 import cicadagauge.node.Effects
 import cicadagauge.node.HomePolicy
 import cicadagauge.node.QuarantineSettings
+import cicadagauge.node.ReachabilitySettings
 import cicadagauge.node.Timers
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
@@ -46,12 +48,14 @@
     private val settings = DispatchSettings(homes = HomePolicy.Local)
     private val quarantineSettings = QuarantineSettings()
     private val quarantine = RequestQuarantine(quarantineSettings, effects) { _, _ -> }
+    private val reachability = UpstreamReachability(vms, ReachabilitySettings(), timers, effects) { _, _ -> }
     private val dispatcher = Dispatcher(
         vms = vms,
         owners = OwnerDirectory(),
         settings = settings,
         quarantine = quarantine,
-        crashDetector = CrashDetector(quarantineSettings, quarantine, effects),
+        crashDetector = CrashDetector(quarantineSettings, quarantine, effects, reachability),
+        reachability = reachability,
         timers = timers,
         effects = effects,
         coldUntil = { Moment.PAST },
