--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -91,6 +91,10 @@
     /** [request] starts to run at [upstream]. */
     fun onRequestStarted(fleet: VirtualFleet, upstream: VirtualUpstream, request: Effect.Forward) = Unit
 
+    /** The run of [request] at [upstream] has ended with [result], whether or not a VM learns of it. */
+    fun onRequestEnded(fleet: VirtualFleet, upstream: VirtualUpstream, request: Effect.Forward, result: RunResult) =
+        Unit
+
     /** The node on [vm] reports a [change] of its state. */
     fun onStateChange(fleet: VirtualFleet, vm: VirtualVm, change: StateChange) = Unit
 }
@@ -250,7 +254,10 @@
                 observer.onRequestArrived(this, upstream, effect)
                 upstream.run(effect.slot, {
                     observer.onRequestStarted(this, upstream, effect)
-                }) { result -> sendResult(vm, upstream, result, attempt::end) }
+                }) { result ->
+                    observer.onRequestEnded(this, upstream, effect, result)
+                    sendResult(vm, upstream, result, attempt::end)
+                }
             }
             upstream.onCrash { attempt.end(AttemptOutcome.Lost(timedOut = false)) }
         }
