--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -173,6 +173,7 @@
     }
 
     private companion object {
+        /** Two intervals of the probes for a return, and the time to open their connections. */
         val RETURN_TIME: Duration = 700.milliseconds
     }
 }
