Notice that the first watcher has stopped, without news from the store

Cause: only the VM that ranks first among the watchers ends its watches early. When it stopped just before all watches were lost, its lapsed registration was one of the lost changes, so no other VM knew that it was now first. Ruled out: a shorter wait of all watches (priced calls that grow with the fleet); a second VM with short watches (the same hole for two VMs, at 2.7 calls a second). Change: the second and third watcher ping those before them; one that stays silent for 0.6 s ranks last, and the next one replaces its long watches at once.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/Watchers.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/Watchers.kt
@@ -19,6 +19,9 @@
     /** Whether this VM ranks first among the [eligible] ones. */
     fun isSelfFirst(): Boolean = vms.ranked(DUTY).firstOrNull()?.id == vms.self
 
+    /** The first [count] VMs in the order of the [eligible] ones. */
+    fun firstRanked(count: Int): List<VmId> = vms.ranked(DUTY).take(count).map { it.id }
+
     private companion object {
         const val DUTY = "watch"
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -17,6 +17,7 @@
 import cicadagauge.membership.Vm
 import cicadagauge.membership.VmDirectory
 import cicadagauge.membership.VmRegistration
+import cicadagauge.membership.WatcherMonitor
 import cicadagauge.membership.Watchers
 import cicadagauge.ownership.DutyManager
 import cicadagauge.ownership.DutyServices
@@ -101,6 +102,9 @@
         stateWatcher,
         storeWatcher(StoreKeys.RECORDS, recordWatchers),
     )
+    private val watcherMonitor = WatcherMonitor(vms, watchers, settings.dissemination, timers) { now ->
+        storeWatchers.forEach { it.rankChanged(now) }
+    }
     private var wakeAt = Moment.FUTURE
     private var stopping = false
 
@@ -147,6 +151,7 @@
         registration?.start(now)
         storeWatchers.forEach { it.start(now) }
         disseminator.start(now)
+        watcherMonitor.start(now)
         budgets.start(now)
         dispatcher.start(now)
         dispatcher.monitorHomes(now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -271,6 +271,10 @@
  * @property watchRetry Delay before a failed store read or watch is repeated.
  * @property minWatchRenewalInterval Shortest time from a watch to the one that replaces it on the store's return.
  * @property watchPause Delay between a watch that returned changes and the next one.
+ * @property watcherPingInterval Interval at which the watchers next in rank check those before them; one not heard from
+ * for that long is pinged.
+ * @property watcherPingTimeout How long a watcher may leave pings unanswered before it is suspected.
+ * @property watcherSuspicion How long a suspected watcher ranks last.
  * @property registrationGrace How long after the store's return an upstream whose registration has lapsed may register
  * again before it is removed.
  */
@@ -285,5 +289,8 @@
     val watchRetry: Duration = 250.milliseconds,
     val minWatchRenewalInterval: Duration = 500.milliseconds,
     val watchPause: Duration = Duration.ZERO,
+    val watcherPingInterval: Duration = 300.milliseconds,
+    val watcherPingTimeout: Duration = 600.milliseconds,
+    val watcherSuspicion: Duration = 5.seconds,
     val registrationGrace: Duration = 2_300.milliseconds,
 )
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
@@ -73,6 +73,11 @@
         if (watch.sentAt + settings.shortWatchWait <= now) renew(watch, now)
     }
 
+    /** Replaces a watch that waits long where this VM has become the one whose watches don't. */
+    fun rankChanged(now: Moment) {
+        if (watchers.isSelfFirst()) changesMissed(now)
+    }
+
     private fun list() {
         store.call(StoreCall.List(prefix)) { reply, now ->
             if (reply is StoreReply.Listed) listed(reply, now) else timers.at(now + settings.watchRetry, ::start)
