Let a request wait while a crash by the same content is being checked

Callers saw: once, the third visit of a crashing request got 502 instead of 503 quarantined, and a third upstream was lost (CrashingUpstreamTest, known red). Cause: after a broken connection two connections are opened, to the upstream and to another one, before the crash counts. A caller who repeated the request within that time was served by the next upstream, and its crash counted as one that happened at the same time as the first. Ruled out: holding the 502 back until the check is done, since a final answer must not wait. Change: requests with the same head wait for their body, and those with the same content for the end of the check.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -94,7 +94,9 @@
     fun accept(request: PendingRequest, now: Moment) {
         if (!request.isRelayedHere) retryBudgetOf(request).recordAdmitted()
         requests[request.id] = request
-        if (!quarantine.needsBody(request.customer, request.head)) return reserve(request, now)
+        val needsBody = quarantine.needsBody(request.customer, request.head) ||
+            crashDetector.isChecking(request.customer, request.head)
+        if (!needsBody) return reserve(request, now)
         request.state = PendingRequest.State.AwaitingBody
         waiting += request
         scheduleSweep(now)
@@ -261,6 +263,7 @@
         if (request.isRelayedHere && vms.isBypassed()) return refuse(request, DispatchRefusals.CUT_OFF, now)
         val quarantined = quarantine.quarantineOf(request.fingerprint, now)
         if (quarantined != null) return refuse(request, DispatchRefusals.quarantined(quarantined), now)
+        if (crashDetector.isChecking(request.fingerprint)) return awaitCrashCheck(request, now)
         val home = homeDirectory.homeOf(request)
         val homeVm = vms.vm(home)
         if (settings.homes == HomePolicy.Relay && home != vms.self && homeVm != null) {
@@ -286,6 +289,13 @@
         }
     }
 
+    /** Lets [request] wait until it is known whether one with the same content has crashed an upstream. */
+    private fun awaitCrashCheck(request: PendingRequest, now: Moment) {
+        request.state = PendingRequest.State.AwaitingCrashCheck
+        waiting += request
+        scheduleSweep(now)
+    }
+
     private fun relay(request: PendingRequest, home: Vm, now: Moment) {
         if (now >= request.deadline) return refuse(request, DispatchRefusals.DEADLINE_BEFORE_RUN, now)
         waiting -= request
@@ -419,8 +429,9 @@
         for (request in waiting.toList()) {
             when (val state = request.state) {
                 is PendingRequest.State.Reserving -> checkReservation(request, state, now)
-                is PendingRequest.State.AwaitingBody ->
-                    if (now >= request.deadline) refuse(request, DispatchRefusals.DEADLINE_BEFORE_RUN, now)
+                PendingRequest.State.AwaitingBody -> refuseIfOverdue(request, now)
+                PendingRequest.State.AwaitingCrashCheck ->
+                    if (!crashDetector.isChecking(request.fingerprint)) reserve(request, now) else refuseIfOverdue(request, now)
                 is PendingRequest.State.BackingOff -> if (now >= state.until) reserve(request, now)
                 else -> Unit
             }
@@ -428,6 +439,10 @@
         if (waiting.isNotEmpty() || schedulers.isActive) scheduleSweep(now)
     }
 
+    private fun refuseIfOverdue(request: PendingRequest, now: Moment) {
+        if (now >= request.deadline) refuse(request, DispatchRefusals.DEADLINE_BEFORE_RUN, now)
+    }
+
     private fun checkReservation(request: PendingRequest, state: PendingRequest.State.Reserving, now: Moment) {
         if (now >= request.deadline) return refuse(request, DispatchRefusals.DEADLINE_BEFORE_RUN, now)
         if (state.home == vms.self || now < state.answerDue) return
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
@@ -68,6 +68,9 @@
         /** Waits for its body, without which it is not known whether the request is in quarantine. */
         data object AwaitingBody : State
 
+        /** Waits for the check of an upstream that a request with the same content may have crashed. */
+        data object AwaitingCrashCheck : State
+
         /** Waits for [home] to grant a permit; without an answer by [answerDue] the reservation is sent again. */
         class Reserving(val home: VmId, val answerDue: Moment) : State
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
@@ -1,6 +1,8 @@
 package cicadagauge.quarantine
 
 import cicadagauge.declaration.Upstream
+import cicadagauge.identity.CustomerName
+import cicadagauge.identity.HeadDigest
 import cicadagauge.identity.Moment
 import cicadagauge.identity.RequestFingerprint
 import cicadagauge.identity.UpstreamId
@@ -26,6 +28,9 @@
     private val reachability: ReachabilityCheck,
 ) {
     private val checks = HashMap<UpstreamId, MutableMap<RequestFingerprint, CrashRecord>>()
+
+    /** The requests of upstreams that refuse connections, while it is checked whether this VM reaches others. */
+    private val confirming = ArrayList<Map<RequestFingerprint, CrashRecord>>()
     private val lastCrashes = ArrayDeque<Moment>()
 
     /**
@@ -44,9 +49,23 @@
     fun checked(upstream: UpstreamId, state: UpstreamState, now: Moment) {
         val running = checks.remove(upstream) ?: return
         if (state != UpstreamState.Refusing) return
-        reachability.check(now) { reachesUpstreams, moment -> if (reachesUpstreams) crashed(upstream, running, moment) }
+        confirming += running
+        reachability.check(now) { reachesUpstreams, moment ->
+            confirming -= running
+            if (reachesUpstreams) crashed(upstream, running, moment)
+        }
     }
 
+    /** Whether a request of [customer] with [head] ran at an upstream that is being checked. */
+    fun isChecking(customer: CustomerName, head: HeadDigest): Boolean =
+        isAnyChecked { it.customer == customer && it.head == head }
+
+    /** Whether a request with [fingerprint] ran at an upstream that is being checked. */
+    fun isChecking(fingerprint: RequestFingerprint?): Boolean = fingerprint != null && isAnyChecked { it == fingerprint }
+
+    private fun isAnyChecked(matches: (RequestFingerprint) -> Boolean): Boolean =
+        checks.values.any { it.keys.any(matches) } || confirming.any { it.keys.any(matches) }
+
     private fun crashed(upstream: UpstreamId, running: Map<RequestFingerprint, CrashRecord>, now: Moment) {
         effects.add(Effect.StateChanged(StateChange.UpstreamCrashed(upstream, running.keys)))
         if (isOneOfMany(now)) return
