Move a range only on proof that its owner can't hold it: a refused connection is none

Callers would see: two upstreams that answer for one key. A VM that is refused by some upstreams only, though they run, took them for gone as soon as any other upstream accepted a connection, and gave their ranges to others at once. Cause: a refused connection counted as the end of the owner's run. Ruled out: asking other VMs whether they are refused too (all of them may be cut off from one upstream). Change: what proves the end of a hold stands in EndOfHold: released, replaced, restarted, expired. Refusals only make an owner suspected; it is ordered on until its hold is over, so it keeps its ranges if the cut ends before. All ranges of a suspected owner wait for proof. The log says owner-suspected with the longest wait. So that keys of a crashed upstream are still served within 2 s, a hold now lasts 1.7 s instead of 2.5 s and is renewed every 0.5 s instead of 0.7 s, and a range that nobody can hold any more is planned within 50 ms. The case of the replaced allocator that resumes is told, as in the case beside it, that the predecessor has stopped: it relied on the refusal as proof. RangeOrdersTest now demands that outcomes are passed on as they are; that refusals were filtered by what else is reached was the fault.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -34,6 +34,17 @@
     /** [upstream] has seen a higher fence than [fence], which this VM sent as the allocator of [pool]. */
     public data class FenceRefused(val pool: PoolName, val upstream: UpstreamId, val fence: RecordVersion) : StateChange
 
+    /**
+     * This VM, as the allocator of [pool], takes [upstream] for lost. Its ranges move at once if [proof] says why it
+     * can't hold them; otherwise they wait for such a proof, for [longestWait] if no order is in flight.
+     */
+    public data class OwnerSuspected(
+        val pool: PoolName,
+        val upstream: UpstreamId,
+        val proof: String?,
+        val longestWait: Duration,
+    ) : StateChange
+
     /** Operators have taken [zone] out of service, or back into service. */
     public data class ZoneOut(val zone: AvailabilityZone, val isOut: Boolean) : StateChange
 
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ranges.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ranges.kt
@@ -91,8 +91,14 @@
     /** The upstream refused the order for another reason; the order had no effect. */
     public data object Rejected : RangeOrderOutcome
 
-    /** The address refuses connections or belongs to another upstream: the upstream's run has ended. */
-    public data object Gone : RangeOrderOutcome
+    /** Another upstream has answered at the address: the run that the order was meant for has ended. */
+    public data object Replaced : RangeOrderOutcome
+
+    /**
+     * The address refused the connection, so the order had no effect. The upstream may run all the same, since a
+     * partition can refuse connections of this VM only.
+     */
+    public data object Refused : RangeOrderOutcome
 
     /**
      * No answer arrived, and the connection was reset. The order may have arrived before that, and may still be
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -97,9 +97,7 @@
         val needsBody = quarantine.needsBody(request.customer, request.head) ||
             crashDetector.isChecking(request.customer, request.head)
         if (!needsBody) return reserve(request, now)
-        request.state = PendingRequest.State.AwaitingBody
-        waiting += request
-        scheduleSweep(now)
+        await(request, PendingRequest.State.AwaitingBody, now)
         effects.add(Effect.AwaitBody(request.id))
     }
 
@@ -190,16 +188,13 @@
             is AttemptOutcome.Refused -> refuse(request, outcome.refusal, now)
             is AttemptOutcome.NotRun -> notRun(request, outcome, now)
             is AttemptOutcome.Lost -> {
-                if (!outcome.timedOut) connectionBroke(request, state.upstream)
+                val broken = upstreams[state.upstream]?.takeUnless { outcome.timedOut }
+                broken?.let { crashDetector.connectionBroke(it, request.fingerprint, request.crashRecord) }
                 lost(request, outcome, now)
             }
         }
     }
 
-    private fun connectionBroke(request: PendingRequest, upstream: UpstreamId) {
-        upstreams[upstream]?.let { crashDetector.connectionBroke(it, request.fingerprint, request.crashRecord) }
-    }
-
     /** Drops request [id], whose caller disconnected while it was waiting. */
     fun callerLeft(id: RequestId, now: Moment) {
         val request = requests.remove(id) ?: return
@@ -263,15 +258,15 @@
         if (request.isRelayedHere && vms.isBypassed()) return refuse(request, DispatchRefusals.CUT_OFF, now)
         val quarantined = quarantine.quarantineOf(request.fingerprint, now)
         if (quarantined != null) return refuse(request, DispatchRefusals.quarantined(quarantined), now)
-        if (crashDetector.isChecking(request.fingerprint)) return awaitCrashCheck(request, now)
+        if (crashDetector.isChecking(request.fingerprint)) {
+            return await(request, PendingRequest.State.AwaitingCrashCheck, now)
+        }
         val home = homeDirectory.homeOf(request)
         val homeVm = vms.vm(home)
         if (settings.homes == HomePolicy.Relay && home != vms.self && homeVm != null) {
             return relay(request, homeVm, now)
         }
-        request.state = PendingRequest.State.Reserving(home, answerDue = now + settings.homeAnswerTimeout)
-        waiting += request
-        scheduleSweep(now)
+        await(request, PendingRequest.State.Reserving(home, answerDue = now + settings.homeAnswerTimeout), now)
         val message = PeerMessage.Reserve(
             pool = request.pool.name,
             id = request.id,
@@ -289,9 +284,9 @@
         }
     }
 
-    /** Lets [request] wait until it is known whether one with the same content has crashed an upstream. */
-    private fun awaitCrashCheck(request: PendingRequest, now: Moment) {
-        request.state = PendingRequest.State.AwaitingCrashCheck
+    /** Lets [request] wait in [state], which is checked at each sweep. */
+    private fun await(request: PendingRequest, state: PendingRequest.State, now: Moment) {
+        request.state = state
         waiting += request
         scheduleSweep(now)
     }
@@ -390,9 +385,7 @@
         if (request.attempts >= settings.maxAttempts || now + pause >= request.deadline) {
             return refuse(request, finalRefusal, now)
         }
-        request.state = PendingRequest.State.BackingOff(now + pause)
-        waiting += request
-        scheduleSweep(now)
+        await(request, PendingRequest.State.BackingOff(now + pause), now)
     }
 
     private fun refuse(request: PendingRequest, refusal: Refusal, now: Moment) {
@@ -429,9 +422,7 @@
         for (request in waiting.toList()) {
             when (val state = request.state) {
                 is PendingRequest.State.Reserving -> checkReservation(request, state, now)
-                PendingRequest.State.AwaitingBody -> refuseIfOverdue(request, now)
-                PendingRequest.State.AwaitingCrashCheck ->
-                    if (!crashDetector.isChecking(request.fingerprint)) reserve(request, now) else refuseIfOverdue(request, now)
+                PendingRequest.State.AwaitingBody, PendingRequest.State.AwaitingCrashCheck -> checkAwaited(request, now)
                 is PendingRequest.State.BackingOff -> if (now >= state.until) reserve(request, now)
                 else -> Unit
             }
@@ -439,8 +430,11 @@
         if (waiting.isNotEmpty() || schedulers.isActive) scheduleSweep(now)
     }
 
-    private fun refuseIfOverdue(request: PendingRequest, now: Moment) {
-        if (now >= request.deadline) refuse(request, DispatchRefusals.DEADLINE_BEFORE_RUN, now)
+    private fun checkAwaited(request: PendingRequest, now: Moment) {
+        val isChecked =
+            request.state == PendingRequest.State.AwaitingCrashCheck && !crashDetector.isChecking(request.fingerprint)
+        if (now >= request.deadline) return refuse(request, DispatchRefusals.DEADLINE_BEFORE_RUN, now)
+        if (isChecked) reserve(request, now)
     }
 
     private fun checkReservation(request: PendingRequest, state: PendingRequest.State.Reserving, now: Moment) {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -75,7 +75,7 @@
     private val disseminator: Disseminator =
         Disseminator(vms, declarations, owners, sharedEntries, quarantine, settings.dissemination, timers)
     private val lease = ProcessLease(store, timers, settings.ownership)
-    private val orders = RangeOrders(effects, reachability, reachability::failed)
+    private val orders = RangeOrders(effects, reachability::failed)
     private val registration = settings.registration?.let { vm ->
         VmRegistration(vm, codecs.vms, store, lease, timers, settings.ownership.registrationRetry, ::listed)
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -86,6 +86,7 @@
  * @property grantLifetime How long an upstream may serve a range after it has accepted a grant.
  * @property renewal Delay from an accepted grant to its renewal.
  * @property retry Delay before an order that was rejected or not answered is sent again.
+ * @property refusedRetry Delay before an order is sent again to an upstream that has refused the connection.
  * @property grantTimeout Timeout of a grant order, and thus the longest time that one may be in transit.
  * @property releaseTimeout Timeout of a release order, and thus the longest time that an upstream may take to finish
  * its work on the range.
@@ -98,14 +99,16 @@
  * @property firstPlanTimeout Longest time from the start of a term to a pool's first plan, even if upstreams are still
  * registering.
  * @property minPlanInterval Shortest interval between plans.
+ * @property minUrgentPlanInterval The same while a range has an owner that can't hold it any more.
  * @property storelessRenewal How long an allocator may go on renewing grants without an answer from the store.
  * @property upstreamDrift How much an upstream's clock may differ in speed from a VM's, as a fraction of the time
  * measured.
  */
 public data class RangeSettings(
-    val grantLifetime: Duration = 2_500.milliseconds,
-    val renewal: Duration = 700.milliseconds,
+    val grantLifetime: Duration = 1_700.milliseconds,
+    val renewal: Duration = 500.milliseconds,
     val retry: Duration = 40.milliseconds,
+    val refusedRetry: Duration = 200.milliseconds,
     val grantTimeout: Duration = 200.milliseconds,
     val releaseTimeout: Duration = 1_500.milliseconds,
     val maxSilence: Duration = 1_400.milliseconds,
@@ -115,6 +118,7 @@
     val firstPlanSettleTime: Duration = 1.seconds,
     val firstPlanTimeout: Duration = 5.seconds,
     val minPlanInterval: Duration = 500.milliseconds,
+    val minUrgentPlanInterval: Duration = 50.milliseconds,
     val storelessRenewal: Duration = 15.seconds,
     val upstreamDrift: Double = 0.02,
 )
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
@@ -91,8 +91,9 @@
 
     /** Sends the next order for [state], if one is due. */
     private fun advance(state: RangeState, now: Moment) {
-        if (isStopped || state.isOrderInFlight || now < state.nextOrderAt || state.isLost(now, times.maxSilence)) return
-        if (!mayOrder(now)) return
+        if (isStopped || state.isOrderInFlight || now < state.nextOrderAt || !mayOrder(now)) return
+        val isGivenUp = state.isLost(now, times.maxSilence) && !(state.isRefusing && state.endOfHold(now) == null)
+        if (isGivenUp) return
         val restartedOwner = restartedOwnerOf(state)
         if (restartedOwner != null) return state.ownerRestarted(restartedOwner)
         if (state.isVacated(now)) grant(state) else release(state)
@@ -121,7 +122,8 @@
         when (outcome) {
             is RangeOrderOutcome.Accepted -> accepted(state, now)
             RangeOrderOutcome.Superseded -> superseded(state, now)
-            RangeOrderOutcome.Gone -> state.ownerGone()
+            RangeOrderOutcome.Replaced -> state.ownerReplaced()
+            RangeOrderOutcome.Refused -> state.connectionRefused(now, now + times.refusedRetry)
             RangeOrderOutcome.Rejected -> state.orderFailed(state.lapsesAt, now, now + times.retry)
             RangeOrderOutcome.Unanswered -> state.orderFailed(now + maxGrantTime, now, now + times.retry)
         }
@@ -147,7 +149,8 @@
         if (isStopped || state !in rangeStates) return
         when (outcome) {
             is RangeOrderOutcome.Accepted -> state.formerReleased(outcome.handover)
-            RangeOrderOutcome.Gone -> state.formerReleased(token = null)
+            RangeOrderOutcome.Replaced -> state.formerReplaced()
+            RangeOrderOutcome.Refused -> state.nextOrderAt = now + times.refusedRetry
             RangeOrderOutcome.Superseded -> superseded(state, now)
             RangeOrderOutcome.Rejected, RangeOrderOutcome.Unanswered -> state.nextOrderAt = now + times.retry
         }
@@ -215,7 +218,7 @@
      * same for [RangeSettings.firstPlanSettleTime], but not beyond [RangeSettings.firstPlanTimeout].
      */
     private fun isPlanDue(now: Moment): Boolean {
-        if (rangeStates.isNotEmpty()) return now >= start + times.planDelay && now >= lastPlanAt + times.minPlanInterval
+        if (rangeStates.isNotEmpty()) return now >= start + times.planDelay && now >= lastPlanAt + planInterval(now)
         val present = pool.upstreams.map { it.id }.toSet()
         if (present != knownUpstreams) {
             knownUpstreams = present
@@ -224,11 +227,17 @@
         return now >= minOf(lastUpstreamChange + times.firstPlanSettleTime, start + times.firstPlanTimeout)
     }
 
+    /** Shorter where a lost owner can't hold its range any more, since nobody serves that range. */
+    private fun planInterval(now: Moment): Duration {
+        val isUnserved = rangeStates.any { it.isLost(now, times.maxSilence) && it.endOfHold(now) != null }
+        return if (isUnserved) times.minUrgentPlanInterval else times.minPlanInterval
+    }
+
     private fun plan(version: RecordVersion, now: Moment): List<OwnedRange> {
         val usable = pool.upstreams.filterNot(declaration::isOut)
         lastPlanAt = now
         heat.decay(now)
-        rangeStates.filter { it.isLost(now, times.maxSilence) }.forEach { suspected.add(it.range.owner, now) }
+        rangeStates.filter { it.isLost(now, times.maxSilence) }.forEach { suspect(it, now) }
         suspected.retain { owner -> usable.any { ownerOf(it) == owner } }
         suspected.probe(now)
         val healthy = usable.filter { ownerOf(it) !in suspected }
@@ -240,12 +249,32 @@
             PlannedRange(
                 slots = state.range.slots,
                 owner = state.range.owner.upstream.takeIf { mayStay(state, healthy) },
-                isMovable = state.range.isServed && state.mayMove(now, times.maxSilence),
+                isMovable = state.range.isServed && mayMove(state, now),
             )
         }
         return planner.plan(current, healthy).map { toOwnedRange(it, version, healthy, now) }
     }
 
+    /** Like [RangeState.mayMove]; all ranges of a suspected owner wait until it can't hold them any more. */
+    private fun mayMove(state: RangeState, now: Moment): Boolean {
+        val isProofNeeded = state.range.owner in suspected
+        return state.mayMove(now, times.maxSilence) && (!isProofNeeded || state.endOfHold(now) != null)
+    }
+
+    private fun suspect(state: RangeState, now: Moment) {
+        val owner = state.range.owner
+        if (owner !in suspected) {
+            val change = StateChange.OwnerSuspected(
+                pool = pool.name,
+                upstream = owner.upstream,
+                proof = state.endOfHold(now)?.name,
+                longestWait = maxOf(Duration.ZERO, state.lapsesAt - now),
+            )
+            effects.add(Effect.StateChanged(change))
+        }
+        suspected.add(owner, now)
+    }
+
     private fun mayStay(state: RangeState, healthy: List<Upstream>): Boolean =
         healthy.any { ownerOf(it) == state.range.owner }
 
@@ -257,11 +286,18 @@
     ): OwnedRange {
         val source = currentStateOf(planned.slots)
         val owner = ownerOf(healthy.first { it.id == planned.owner })
-        val stays = source != null && (source.range.owner == owner || !source.mayMove(now, times.maxSilence))
+        val stays = source != null && (source.range.owner == owner || !mayMove(source, now))
         if (source != null && stays) return source.range.copy(slots = planned.slots)
-        val former = source?.takeUnless { it.isGone || now >= it.lapsesAt }?.let { it.restartedOwner ?: it.range.owner }
+        val former = source?.let { formerOwnerOf(it, now) }
         return OwnedRange(planned.slots, owner, version, former = former)
     }
 
+    /** The upstream that may hold the range of [state] beside its next owner, or null if none can. */
+    private fun formerOwnerOf(state: RangeState, now: Moment): RangeOwner? = when (state.endOfHold(now)) {
+        EndOfHold.Released, EndOfHold.Replaced, EndOfHold.Expired -> null
+        EndOfHold.Restarted -> state.restartedOwner
+        null -> state.range.owner
+    }
+
     private fun ownerOf(upstream: Upstream) = RangeOwner(upstream.id, upstream.run, upstream.address)
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeState.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeState.kt
@@ -3,6 +3,24 @@
 import cicadagauge.identity.Moment
 import kotlin.time.Duration
 
+/**
+ * What proves that an upstream can't hold a range any more. Refused or reset connections and silence prove nothing: to
+ * this VM, an upstream behind a partition looks the same as one that has stopped, and it may go on serving others.
+ */
+internal enum class EndOfHold {
+    /** It has released the range. */
+    Released,
+
+    /** Another upstream has answered at its address. */
+    Replaced,
+
+    /** It has registered again, with a later run. That run may have accepted a grant that was meant for the earlier. */
+    Restarted,
+
+    /** The last hold that it can have been granted has expired, by the slowest clock allowed. */
+    Expired,
+}
+
 /**
  * What an allocator knows of one range: whether its owner answers, until when it may hold the range, and when the next
  * order is due. All times are on this VM's clock.
@@ -22,8 +40,11 @@
     var isClaimed: Boolean = false
         private set
 
-    /** Whether the owner's run has certainly ended. */
-    var isGone: Boolean = false
+    private var isReplaced = false
+    private var isFormerReplaced = false
+
+    /** Whether the owner has refused the last connection. */
+    var isRefusing: Boolean = false
         private set
 
     /** The owner in a later run, or null. That run may have accepted a grant that was meant for the earlier one. */
@@ -39,22 +60,37 @@
     /** Whether [slot] lies in the range. */
     operator fun contains(slot: Int): Boolean = slot in range.slots.first..range.slots.last
 
+    /** What proves that the owner can't hold the range any more at [now], or null as long as it may. */
+    fun endOfHold(now: Moment): EndOfHold? = when {
+        isReplaced -> EndOfHold.Replaced
+        restartedOwner != null -> EndOfHold.Restarted
+        !isOrderInFlight && now >= lapsesAt -> EndOfHold.Expired
+        else -> null
+    }
+
+    private fun endOfFormerHold(now: Moment): EndOfHold? = when {
+        hasFormerReleased -> EndOfHold.Released
+        isFormerReplaced -> EndOfHold.Replaced
+        now >= formerLapsesAt -> EndOfHold.Expired
+        else -> null
+    }
+
     /** Whether no upstream but the owner can hold the range at [now]. */
-    fun isVacated(now: Moment): Boolean = range.former == null || hasFormerReleased || now >= formerLapsesAt
+    fun isVacated(now: Moment): Boolean = range.former == null || endOfFormerHold(now) != null
 
-    /** Whether the owner's run has ended, or it has rejected or not answered grants for [silence]. */
-    fun isLost(now: Moment, silence: Duration): Boolean = isGone || restartedOwner != null || isSilent(now, silence)
+    /** Whether the owner's run has ended, or is suspected to: it refuses connections or was silent for [silence]. */
+    fun isLost(now: Moment, silence: Duration): Boolean =
+        isReplaced || restartedOwner != null || isRefusing || isSilent(now, silence)
 
     private fun isSilent(now: Moment, silence: Duration) = failingSince?.let { it + silence <= now } ?: false
 
     /**
      * Whether the range may be assigned to another owner at [now]. It may not while an order is in flight or its former
-     * owner may still hold it. An owner that does not answer keeps its range until its hold has expired.
+     * owner may still hold it. With an owner that is lost, it waits for the [endOfHold].
      */
     fun mayMove(now: Moment, silence: Duration): Boolean = when {
         isOrderInFlight || !isVacated(now) -> false
-        isGone || restartedOwner != null -> true
-        isLost(now, silence) -> now >= lapsesAt
+        isLost(now, silence) -> endOfHold(now) != null
         else -> true
     }
 
@@ -69,9 +105,16 @@
         nextOrderAt = next
         isClaimed = true
         failingSince = null
+        isRefusing = false
         handover = null
     }
 
+    /** Notes that the owner has refused the connection at [now], so that the order had no effect; retry at [next]. */
+    fun connectionRefused(now: Moment, next: Moment) {
+        orderFailed(lapsesAt, now, next)
+        isRefusing = true
+    }
+
     /**
      * Notes that a grant was rejected, or was not answered by [now]. The owner may hold the range until [until]; a
      * retry follows at [next].
@@ -82,9 +125,14 @@
         failingSince = failingSince ?: now
     }
 
-    /** Notes that the owner's run has ended. */
-    fun ownerGone() {
-        isGone = true
+    /** Notes that another upstream has answered at the owner's address. */
+    fun ownerReplaced() {
+        isReplaced = true
+    }
+
+    /** Notes that another upstream has answered at the former owner's address. */
+    fun formerReplaced() {
+        isFormerReplaced = true
     }
 
     /** Notes that the owner has restarted, as [owner]. */
@@ -94,7 +142,8 @@
 
     /** Resumes orders to an owner that was considered lost, because there is no other upstream. */
     fun retry(now: Moment) {
-        isGone = false
+        isReplaced = false
+        isRefusing = false
         failingSince = null
         nextOrderAt = now
     }
@@ -120,7 +169,8 @@
         val state = RangeState(part, lapse, formerLapsesAt)
         state.isClaimed = isClaimed
         state.failingSince = failingSince
-        state.isGone = isGone
+        state.isReplaced = isReplaced
+        state.isRefusing = isRefusing
         state.restartedOwner = restartedOwner
         return state
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/quarantine/CrashDetector.kt
@@ -61,7 +61,8 @@
         isAnyChecked { it.customer == customer && it.head == head }
 
     /** Whether a request with [fingerprint] ran at an upstream that is being checked. */
-    fun isChecking(fingerprint: RequestFingerprint?): Boolean = fingerprint != null && isAnyChecked { it == fingerprint }
+    fun isChecking(fingerprint: RequestFingerprint?): Boolean =
+        fingerprint != null && isAnyChecked { it == fingerprint }
 
     private fun isAnyChecked(matches: (RequestFingerprint) -> Boolean): Boolean =
         checks.values.any { it.keys.any(matches) } || confirming.any { it.keys.any(matches) }
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/PendingCrashCheckTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/PendingCrashCheckTest.kt
@@ -97,7 +97,9 @@
         repeat((duration / 1.milliseconds).toInt()) {
             val batch = effects.take()
             decided += batch
-            batch.filterIsInstance<Effect.AwaitBody>().forEach { dispatcher.bodyRead(it.id, bodies.getValue(it.id), now) }
+            for (effect in batch.filterIsInstance<Effect.AwaitBody>()) {
+                dispatcher.bodyRead(effect.id, bodies.getValue(effect.id), now)
+            }
             now += 1.milliseconds
             timers.run(now)
         }
@@ -131,10 +133,9 @@
             val body = BodyDigest(1)
             val other = BodyDigest(2)
             val first = upstreams.send(body)
-            val second: RequestId
             val firstRun = upstreams.decisions(bodies = emptyMap()).filterIsInstance<Effect.Forward>().single()
             upstreams.crash(first, firstRun.upstream, body)
-            second = upstreams.send(body)
+            val second = upstreams.send(body)
             val unrelated = upstreams.send(other)
             val bodies = mapOf(second to body, unrelated to other)
             val whileChecked = upstreams.decisions(bodies = bodies)
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeAllocatorTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeAllocatorTest.kt
@@ -8,8 +8,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A simulation in which the first allocator has assigned every slot an owner. */
-private fun settledSimulation(seed: Int = 1, faults: OrderFaults = OrderFaults()) =
-    RangeSimulation(seed, faults).apply {
+private fun settledSimulation(seed: Int = 1, faults: OrderFaults = OrderFaults(), upstreamCount: Int = 4) =
+    RangeSimulation(seed, faults, upstreamCount).apply {
         takeOver()
         run(10.seconds)
     }
@@ -30,6 +30,56 @@
             sim.maxOwnersPerSlot shouldBe 1
         }
 
+        for (upstreamCount in listOf(4, 15, 60)) {
+            test("an upstream that only refuses connections keeps its slots for its hold: $upstreamCount") {
+                for (startMillis in 0 until 1_000 step 50) {
+                    val sim = settledSimulation(upstreamCount = upstreamCount)
+                    sim.run(startMillis.milliseconds)
+                    sim.upstreams[1].refusesConnections = true
+                    sim.run(10.seconds)
+                    withClue("refuses connections after $startMillis ms") {
+                        sim.maxOwnersPerSlot shouldBe 1
+                        sim.served() shouldBe SIMULATED_SLOTS
+                    }
+                }
+            }
+
+            test("an upstream that refuses connections for less than its hold keeps its slots: $upstreamCount") {
+                for (startMillis in 0 until 1_000 step 50) {
+                    val sim = settledSimulation(upstreamCount = upstreamCount)
+                    sim.run(startMillis.milliseconds)
+                    val owners = sim.store.record.ranges.map { it.owner }
+                    sim.upstreams[1].refusesConnections = true
+                    sim.run(500.milliseconds)
+                    sim.upstreams[1].refusesConnections = false
+                    sim.run(5.seconds)
+                    withClue("refuses connections after $startMillis ms") {
+                        sim.store.record.ranges.map { it.owner } shouldBe owners
+                        sim.served() shouldBe SIMULATED_SLOTS
+                    }
+                }
+            }
+        }
+
+        test("the slots of a crashed upstream are served again within 2 s, whenever it crashes between two renewals") {
+            for (startMillis in 0 until 1_000 step 50) {
+                val sim = settledSimulation()
+                sim.run(startMillis.milliseconds)
+                sim.upstreams[1].crash()
+                sim.run(2.seconds)
+                withClue("crashed after $startMillis ms") { sim.served() shouldBe SIMULATED_SLOTS }
+            }
+        }
+
+        test("a former owner that refuses connections holds up a move until its hold is over, and not longer") {
+            val sim = settledSimulation()
+            sim.upstreams[1].isDraining = true
+            sim.upstreams[1].refusesConnections = true
+            sim.run(3.seconds)
+            sim.maxOwnersPerSlot shouldBe 1
+            sim.served() shouldBe SIMULATED_SLOTS
+        }
+
         test("the slots of an unreachable upstream have no other owner until its hold has expired") {
             val sim = settledSimulation()
             sim.upstreams[1].isReachable = false
@@ -68,9 +118,11 @@
             val first = sim.allocators.first()
             first.pause(6.seconds)
             sim.run(1.seconds)
-            sim.takeOver()
+            val second = sim.takeOver()
             sim.upstreams[0].crash()
-            sim.run(10.seconds)
+            sim.run(6.seconds)
+            second.predecessorHasStopped(first)
+            sim.run(4.seconds)
             sim.served() shouldBe SIMULATED_SLOTS
             sim.maxOwnersPerSlot shouldBe 1
         }
@@ -117,7 +169,8 @@
                 repeat(25) {
                     val upstream = sim.upstreams[random.nextInt(sim.upstreams.size)]
                     val allocator = sim.allocators.last()
-                    when (random.nextInt(8)) {
+                    when (random.nextInt(9)) {
+                        7 -> upstream.refusesConnections = !upstream.refusesConnections
                         0 -> upstream.crash()
                         1 -> if (!upstream.isUp) upstream.restart()
                         2 -> upstream.isReachable = !upstream.isReachable
@@ -133,6 +186,7 @@
                 sim.faults = OrderFaults()
                 sim.upstreams.forEach {
                     it.isReachable = true
+                    it.refusesConnections = false
                     if (!it.isUp) it.restart()
                 }
                 val last = sim.takeOver()
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeOrdersTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeOrdersTest.kt
@@ -15,16 +15,25 @@
         val owner = RangeOwner(UpstreamId("u"), null, Address("u", 1))
         val order = RangeOrder.Release(PoolName("p"), SlotRange(first = 0, last = 0), RecordVersion.NONE)
 
-        for (reachesUpstreams in listOf(true, false)) {
-            val expected = if (reachesUpstreams) RangeOrderOutcome.Gone else RangeOrderOutcome.Unanswered
-            test("the outcome of an order to an owner that is gone, while upstreams are reached: $reachesUpstreams") {
+        val outcomes = mapOf(
+            RangeOrderOutcome.Refused to true,
+            RangeOrderOutcome.Unanswered to true,
+            RangeOrderOutcome.Replaced to false,
+            RangeOrderOutcome.Rejected to false,
+            RangeOrderOutcome.Superseded to false,
+            RangeOrderOutcome.Accepted() to false,
+        )
+        for ((outcome, isSignOfCut) in outcomes) {
+            test("$outcome is passed on as it is, and is a sign that this VM may be cut off: $isSignOfCut") {
                 val effects = Effects()
-                val orders = RangeOrders(effects, { now, onChecked -> onChecked(reachesUpstreams, now) })
+                val notReached = ArrayList<UpstreamId>()
+                val orders = RangeOrders(effects) { upstream, _ -> notReached += upstream }
                 var received: RangeOrderOutcome? = null
-                orders.send(owner, order) { outcome, _ -> received = outcome }
+                orders.send(owner, order) { it, _ -> received = it }
                 val id = (effects.take().single() as Effect.SendRangeOrder).id
-                orders.outcomeReceived(id, RangeOrderOutcome.Gone, Moment.ZERO)
-                received shouldBe expected
+                orders.outcomeReceived(id, outcome, Moment.ZERO)
+                received shouldBe outcome
+                notReached shouldBe if (isSignOfCut) listOf(owner.upstream) else emptyList()
             }
         }
     })
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeSimulation.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangeSimulation.kt
@@ -38,6 +38,12 @@
     var run = 1
     var isUp = true
     var isReachable = true
+
+    /** Whether it refuses the allocators' connections, although it runs. */
+    var refusesConnections = false
+
+    /** Whether it is registered as leaving, so that it may not own slots. */
+    var isDraining = false
     val registered
         get() = Upstream(
             id = UpstreamId("u$number"),
@@ -163,6 +169,10 @@
         val upstream = upstreams.first { it.registered.id == effect.owner.upstream }
         val timeout =
             if (effect.order is RangeOrder.Grant) settings.ranges.grantTimeout else settings.ranges.releaseTimeout
+        if (upstream.refusesConnections || !upstream.isUp) {
+            after(delay()) { from.receiveOutcome(effect.id, RangeOrderOutcome.Refused) }
+            return
+        }
         val isLost = random.nextDouble() < faults.lost || !upstream.isReachable
         val isLate = random.nextDouble() < faults.late
         if (isLost || isLate) after(timeout) { from.receiveOutcome(effect.id, RangeOrderOutcome.Unanswered) }
@@ -174,7 +184,7 @@
                 isLate -> after(MAX_LATENESS * random.nextDouble()) {
                     if (upstream.isUp && upstream.run == run) upstream.handle(effect.order, arrival)
                 }
-                !upstream.isUp -> after(delay()) { from.receiveOutcome(effect.id, RangeOrderOutcome.Gone) }
+                !upstream.isUp -> after(delay()) { from.receiveOutcome(effect.id, RangeOrderOutcome.Refused) }
                 else -> {
                     val outcome = upstream.handle(effect.order, arrival)
                     after(delay()) { from.receiveOutcome(effect.id, outcome) }
@@ -191,7 +201,7 @@
     inner class SimulatedAllocator(private val vm: VmId, initial: OwnershipRecord) : AllocatorContext {
         private val effects = Effects()
         private val timers = Timers()
-        private val orders = RangeOrders(effects, { now, onChecked -> onChecked(true, now) })
+        private val orders = RangeOrders(effects)
         private val vms = VmDirectory(vm, AvailabilityZone("a"), effects)
         private var isPaused = false
         private val deferred = ArrayDeque<() -> Unit>()
@@ -204,7 +214,7 @@
 
         private val pool get() = Pool(
             name = PoolName("p"),
-            upstreams = upstreams.filter { it.isUp }.map { it.registered },
+            upstreams = upstreams.filter { it.isUp && !it.isDraining }.map { it.registered },
             slots = SIMULATED_SLOTS,
             placement = Placement.Ranges,
         )
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -38,6 +38,13 @@
             write("owners-changed", "pool" to change.pool, "version" to change.version, "moved" to change.moved)
         is StateChange.FenceRefused ->
             write("fence-refused", "pool" to change.pool, "upstream" to change.upstream, "fence" to change.fence)
+        is StateChange.OwnerSuspected -> write(
+            "owner-suspected",
+            "pool" to change.pool,
+            "upstream" to change.upstream,
+            "proof" to change.proof,
+            "longestWaitMillis" to change.longestWait.inWholeMilliseconds,
+        )
         is StateChange.ZoneOut -> write("zone-out", "zone" to change.zone, "out" to change.isOut)
         is StateChange.RegistrationUnreadable ->
             write("registration-unreadable", "upstream" to change.upstream, "problem" to change.problem)
