Bound what is read ahead of the answers on a caller's connection

On the users' platform a VM has a heap of 32 MB. Cause: requests behind an unanswered one were decoded and queued without bound, and reading went on. Change: eight requests or 64 KB of bodies behind the current one are decoded; further bytes are kept undecoded, 64 KB at most; then reading from the connection pauses until there is room. A caller who leaves is noticed as long as reading is not paused, and otherwise when the current request has been answered, before the next one is passed on. Counter cicadagauge_read_ahead_pauses_total and log line read-ahead-paused. The ports of callers and relays are a type of their own, CallerPort.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -5,8 +5,7 @@
 package cicadagauge.gateway
 
 import cicadagauge.gateway.caller.CallerHandler
-import cicadagauge.gateway.caller.ResponseEncoder
-import cicadagauge.gateway.caller.StrictRequestDecoder
+import cicadagauge.gateway.caller.CallerPort
 import cicadagauge.gateway.control.ControlHandler
 import cicadagauge.gateway.control.JsonHttpClient
 import cicadagauge.gateway.control.JsonHttpServer
@@ -22,16 +21,11 @@
 import cicadagauge.node.Effect
 import cicadagauge.node.Event
 import cicadagauge.node.NodeStatus
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.nio.NioIoHandler
-import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.timeout.IdleStateHandler
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -153,11 +147,7 @@
     private fun listen(address: Address): Channel = bind(address).sync().channel()
 
     private fun bind(address: Address): ChannelFuture =
-        ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(Initializer(acceptsRelays = address == settings.relays))
-            .bind(address.host, address.port)
+        CallerPort(group, registry, settings.limits, callers, acceptsRelays = address == settings.relays).bind(address)
 
     private fun carryOut(effect: Effect) {
         when (effect) {
@@ -185,23 +175,6 @@
         }
     }
 
-    private inner class Initializer(private val acceptsRelays: Boolean) : ChannelInitializer<Channel>() {
-        override fun initChannel(channel: Channel) {
-            if (callers.size >= settings.limits.connections) {
-                channel.close()
-                return
-            }
-            callers.add(channel)
-            val idle = IdleStateHandler(settings.limits.idleTimeout.inWholeSeconds, 0, 0, TimeUnit.SECONDS)
-            channel.pipeline().addLast(
-                StrictRequestDecoder(settings.limits),
-                ResponseEncoder(),
-                idle,
-                CallerHandler(registry, settings.limits, acceptsRelays),
-            )
-        }
-    }
-
     private companion object {
         const val POLL_MILLIS = 5L
         const val REBIND_MILLIS = 100L
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
@@ -62,6 +62,8 @@
  * @property maxBodyBytes maximum length of a request body in bytes
  * @property replayBufferBytes how much of a request body is retained, so that the request can be sent again if it did
  * not run
+ * @property readAheadRequests how many requests behind an unanswered one are read at most
+ * @property readAheadBytes how many bytes of further requests are buffered before reading from the connection pauses
  * @property idleTimeout how long a caller may send nothing, between requests or within one, before its connection is
  * closed; fractions of a second are ignored
  * @property requestProgress not enforced at present
@@ -72,6 +74,8 @@
     val headerBytes: Int = 16_384,
     val maxBodyBytes: Long = 16_777_216,
     val replayBufferBytes: Int = 65_536,
+    val readAheadRequests: Int = 8,
+    val readAheadBytes: Int = 65_536,
     val idleTimeout: Duration = 60.seconds,
     val requestProgress: Duration = 10.seconds,
 )
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -45,11 +45,14 @@
     /** Returns a new id for the next request. */
     fun nextId(): RequestId = RequestId(++lastId)
 
-    /** Hands a new request to the node. */
-    fun requestArrived(exchange: Exchange) {
+    /**
+     * Hands a new request to the node. [mayHaveLeft] says that the caller's connection was not read to its end, so that
+     * the caller may have disconnected already.
+     */
+    fun requestArrived(exchange: Exchange, mayHaveLeft: Boolean = false) {
         exchanges[exchange.id] = exchange
         val head = NettyRequestHead(exchange.request, dialect, loopMonitor.lag())
-        afterPendingDisconnects(exchange) { driver.submit(Event.RequestArrived(exchange.id, head)) }
+        afterPendingDisconnects(exchange, mayHaveLeft) { driver.submit(Event.RequestArrived(exchange.id, head)) }
     }
 
     /** Hands a request that another VM has relayed to the node. */
@@ -64,15 +67,14 @@
     }
 
     /**
-     * Calls [submit], normally at once. After a stall it is called one turn of the event loop later, and only if the
-     * caller has not disconnected by then: a request and the end of its connection that both arrived during the stall
-     * are read in two turns.
+     * Calls [submit], normally at once. Where the caller [mayHaveLeft], and after a stall, it is called one turn of the
+     * event loop later, and only if the caller has not disconnected by then: a request and the end of its connection
+     * that both arrived during the stall are read in two turns.
      */
-    private fun afterPendingDisconnects(exchange: Exchange, submit: () -> Unit) {
-        if (!loopMonitor.isRecovering) return submit()
-        loop.execute {
-            loop.schedule({ if (exchange.id in exchanges) submit() }, NEXT_TURN_DELAY_MILLIS, TimeUnit.MILLISECONDS)
-        }
+    private fun afterPendingDisconnects(exchange: Exchange, mayHaveLeft: Boolean = false, submit: () -> Unit) {
+        if (!loopMonitor.isRecovering && !mayHaveLeft) return submit()
+        val submitIfOpen = { if (exchange.id in exchanges) submit() }
+        loop.execute { loop.schedule(submitIfOpen, NEXT_TURN_DELAY_MILLIS, TimeUnit.MILLISECONDS) }
     }
 
     /** The relay data of [request] if it carries the secret of this deployment, or null. */
@@ -93,6 +95,12 @@
         metrics.countRefusal(refusal.reason)
     }
 
+    /** Records that a caller sends so far ahead that reading from its connection pauses. */
+    fun recordReadAheadPause() {
+        metrics.countReadAheadPause()
+        log.write("read-ahead-paused")
+    }
+
     /** Ends [exchange], whose caller has disconnected. */
     fun callerDisconnected(exchange: Exchange) {
         if (exchanges.remove(exchange.id) == null) return
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerCodec.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerCodec.kt
@@ -1,6 +1,9 @@
 package cicadagauge.gateway.caller
 
 import cicadagauge.gateway.CallerLimits
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
@@ -9,8 +12,33 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseEncoder
 
-/** Decodes callers' requests and rejects those that two parsers could interpret differently. */
-internal class StrictRequestDecoder(limits: CallerLimits) : HttpRequestDecoder(config(limits)) {
+/**
+ * Decodes callers' requests and rejects those that two parsers could interpret differently. What [handler] has no room
+ * for is kept as bytes; beyond [CallerLimits.readAheadBytes] of them, reading from the connection pauses.
+ */
+internal class StrictRequestDecoder(private val limits: CallerLimits, private val handler: CallerHandler) :
+    HttpRequestDecoder(config(limits)) {
+    private var isPaused = false
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        super.channelRead(context, message)
+        if (isPaused || actualReadableBytes() < limits.readAheadBytes) return
+        isPaused = true
+        handler.pauseReadAhead(true)
+    }
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (!handler.isReadAheadFull) super.decode(context, buffer, out)
+    }
+
+    /** Continues to decode after [handler] has room again. */
+    fun resume(context: ChannelHandlerContext) {
+        if (actualReadableBytes() > 0) channelRead(context, Unpooled.EMPTY_BUFFER)
+        if (!isPaused || actualReadableBytes() >= limits.readAheadBytes) return
+        isPaused = false
+        handler.pauseReadAhead(false)
+    }
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("request has both content-length and transfer-encoding")
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerHandler.kt
@@ -37,6 +37,10 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private val pipelined = ArrayDeque<HttpObject>()
+    private var pipelinedRequests = 0
+    private var pipelinedBytes = 0
+    private var isBodyPaused = false
+    private var isReadAheadPaused = false
     private var current: Exchange? = null
     private var isDiscardingBody = false
     private var keepAlive = true
@@ -52,9 +56,20 @@
             return
         }
         val exchange = current
-        if (exchange != null && exchange.isBodyComplete) pipelined.addLast(message) else read(message)
+        if (exchange == null || !exchange.isBodyComplete) return read(message)
+        countPipelined(message, sign = 1)
+        pipelined.addLast(message)
     }
 
+    private fun countPipelined(message: HttpObject, sign: Int) {
+        if (message is HttpRequest) pipelinedRequests += sign
+        if (message is HttpContent) pipelinedBytes += sign * message.content().readableBytes()
+    }
+
+    /** Whether no further request should be decoded, until the current one has been answered. */
+    val isReadAheadFull: Boolean
+        get() = pipelinedRequests >= limits.readAheadRequests || pipelinedBytes >= limits.readAheadBytes
+
     override fun channelReadComplete(context: ChannelHandlerContext) {
         context.flush()
         context.fireChannelReadComplete()
@@ -141,9 +156,21 @@
         context.close()
     }
 
-    /** Pauses or resumes reading from the caller. */
+    /** Pauses or resumes reading the body of the current request. */
     fun pauseBody(pause: Boolean) {
-        context.channel().config().isAutoRead = !pause
+        isBodyPaused = pause
+        applyPauses()
+    }
+
+    /** Pauses or resumes reading what follows the current request. */
+    fun pauseReadAhead(pause: Boolean) {
+        if (pause) registry.recordReadAheadPause()
+        isReadAheadPaused = pause
+        applyPauses()
+    }
+
+    private fun applyPauses() {
+        context.channel().config().isAutoRead = !isBodyPaused && !isReadAheadPaused
     }
 
     private fun read(message: HttpObject) {
@@ -166,7 +193,8 @@
         if (problem != null) return refuseWithoutNode(exchange, problem)
         if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(continueResponse())
         val relayed = if (acceptsRelays) registry.relayed(request) else null
-        if (relayed == null) registry.requestArrived(exchange) else registry.relayArrived(exchange, relayed)
+        if (relayed != null) return registry.relayArrived(exchange, relayed)
+        registry.requestArrived(exchange, mayHaveLeft = isReadAheadPaused)
     }
 
     private fun problemOf(request: HttpRequest): Refusal? {
@@ -248,11 +276,20 @@
             return
         }
         pauseBody(false)
-        while (pipelined.isNotEmpty() &&
-            (current == null || current?.isBodyComplete == false)
-        ) {
-            read(pipelined.removeFirst())
+        val wasFull = isReadAheadFull
+        while (pipelined.isNotEmpty() && (current == null || current?.isBodyComplete == false)) {
+            val next = pipelined.removeFirst()
+            countPipelined(next, sign = -1)
+            read(next)
         }
+        // In a task of its own, since this may be called while the decoder is at work.
+        if (wasFull) context.executor().execute(::resumeReadAhead)
+    }
+
+    private fun resumeReadAhead() {
+        if (isReadAheadFull || isClosing) return
+        val decoder = context.pipeline().context(StrictRequestDecoder::class.java) ?: return
+        (decoder.handler() as StrictRequestDecoder).resume(decoder)
     }
 
     private fun continueResponse() = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
--- /dev/null
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerPort.kt
@@ -0,0 +1,53 @@
+package cicadagauge.gateway.caller
+
+import cicadagauge.gateway.CallerLimits
+import cicadagauge.gateway.RequestRegistry
+import cicadagauge.identity.Address
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.group.ChannelGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.timeout.IdleStateHandler
+import java.util.concurrent.TimeUnit
+
+/**
+ * A port on which requests arrive.
+ *
+ * @param connections the open connections of all ports, which [CallerLimits.connections] bounds
+ * @param acceptsRelays whether other VMs may relay requests to this port
+ */
+internal class CallerPort(
+    private val group: EventLoopGroup,
+    private val registry: RequestRegistry,
+    private val limits: CallerLimits,
+    private val connections: ChannelGroup,
+    private val acceptsRelays: Boolean,
+) {
+    /** Binds [address]. */
+    fun bind(address: Address): ChannelFuture = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(Initializer())
+        .bind(address.host, address.port)
+
+    private inner class Initializer : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            if (connections.size >= limits.connections) {
+                channel.close()
+                return
+            }
+            connections.add(channel)
+            val handler = CallerHandler(registry, limits, acceptsRelays)
+            channel.pipeline().addLast(
+                StrictRequestDecoder(limits, handler),
+                ResponseEncoder(),
+                IdleStateHandler(limits.idleTimeout.inWholeSeconds, 0, 0, TimeUnit.SECONDS),
+                handler,
+            )
+        }
+    }
+}
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
@@ -33,6 +33,8 @@
         .help("Attempts after one that has reached an upstream").labelNames("pool").register(registry)
     private val unsolicited = Counter.builder().name("cicadagauge_unsolicited_closes_total")
         .help("Connections closed because bytes arrived on them that no request had asked for").register(registry)
+    private val readAheadPauses = Counter.builder().name("cicadagauge_read_ahead_pauses_total")
+        .help("Pauses of reading from callers who send far ahead of the answers").register(registry)
     private val changes = Counter.builder().name("cicadagauge_state_changes_total")
         .help("Changes of state, by kind").labelNames("kind").register(registry)
 
@@ -66,6 +68,11 @@
         unsolicited.inc()
     }
 
+    /** Counts a pause of reading from a caller who sends far ahead of the answers. */
+    fun countReadAheadPause() {
+        readAheadPauses.inc()
+    }
+
     /** Records how long a request took. */
     fun observeDuration(customer: CustomerName?, requestClass: RequestClass, duration: Duration) {
         val point = durations.getOrPut(customer to requestClass) {
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/RequestRegistryTest.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/RequestRegistryTest.kt
@@ -2,19 +2,12 @@
 
 import cicadagauge.gateway.caller.CallerHandler
 import cicadagauge.gateway.caller.Exchange
-import cicadagauge.gateway.environment.DefaultDialect
-import cicadagauge.gateway.log.EventLog
-import cicadagauge.gateway.metrics.GatewayMetrics
-import cicadagauge.gateway.upstream.UpstreamConnections
 import cicadagauge.identity.Moment
-import cicadagauge.identity.VmId
-import cicadagauge.node.Effect
 import cicadagauge.node.Event
-import cicadagauge.node.Node
-import cicadagauge.node.NodeStatus
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpMethod
@@ -22,14 +15,6 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 
-private class RecordingNode : Node {
-    val events = ArrayList<Event>()
-
-    override fun handle(event: Event, now: Moment): List<Effect> = emptyList<Effect>().also { events += event }
-
-    override fun status(now: Moment): NodeStatus = error("not called in this test")
-}
-
 /** A registry whose event loop has stalled for [stallSeconds]. */
 private class StalledLoop(stallSeconds: Long) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -37,20 +22,13 @@
     private val node = RecordingNode()
     private var now = Moment.ZERO
     private val loopMonitor = EventLoopMonitor { now }
-    private val registry = RequestRegistry(
-        driver = NodeDriver(node, loop).apply { effectHandler = EffectHandler { } },
-        connections = UpstreamConnections(loop, UpstreamLimits(), DefaultDialect) { _, _ -> },
-        metrics = GatewayMetrics { 0 },
-        secret = "secret",
-        dialect = DefaultDialect,
-        log = EventLog(VmId("vm")) { now },
-        loopMonitor = loopMonitor,
-        loop = loop,
-    )
+    private val registry = node.registry(loop, loopMonitor)
+    private val caller =
+        CallerHandler(registry, CallerLimits(), acceptsRelays = false).also { EmbeddedChannel(it) }
     private val exchange = Exchange(
         registry.nextId(),
         DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
-        CallerHandler(registry, CallerLimits(), acceptsRelays = false),
+        caller,
         CallerLimits(),
     )
 
