Notice callers who have left before their requests are passed on, without a stall as well

Ruled out: the home's queue handing out what its caller had left (the home sent it 3 ms after the relay); a close that is held up between VMs (the home learnt of it 4 ms after the entry VM). Change: connections of callers and relays are read until nothing is left, one more read at each, and a request is passed on after all connections that are ready have been read, if its connection is still open.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -67,13 +67,13 @@
     }
 
     /**
-     * Calls [submit], normally at once. Where the caller [mayHaveLeft], and after a stall, it is called one turn of the
-     * event loop later, and only if the caller has not disconnected by then: a request and the end of its connection
-     * that both arrived during the stall are read in two turns.
+     * Calls [submit] after the connections that are ready have been read, and only if the caller has not disconnected
+     * by then. Where it [mayHaveLeft], and after a stall, this is one turn of the event loop later: connections that
+     * were accepted during a stall are read in two turns.
      */
     private fun afterPendingDisconnects(exchange: Exchange, mayHaveLeft: Boolean = false, submit: () -> Unit) {
-        if (!loopMonitor.isRecovering && !mayHaveLeft) return submit()
-        val submitIfOpen = { if (exchange.id in exchanges) submit() }
+        val submitIfOpen = { if (exchange.id in exchanges && exchange.caller.isConnected) submit() }
+        if (!loopMonitor.isRecovering && !mayHaveLeft) return loop.execute(submitIfOpen)
         loop.execute { loop.schedule(submitIfOpen, NEXT_TURN_DELAY_MILLIS, TimeUnit.MILLISECONDS) }
     }
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerHandler.kt
@@ -66,6 +66,9 @@
         if (message is HttpContent) pipelinedBytes += sign * message.content().readableBytes()
     }
 
+    /** Whether the caller's connection is open. Its end is noticed here before [channelInactive] is called. */
+    val isConnected: Boolean get() = context.channel().isActive
+
     /** Whether no further request should be decoded, until the current one has been answered. */
     val isReadAheadFull: Boolean
         get() = pipelinedRequests >= limits.readAheadRequests || pipelinedBytes >= limits.readAheadBytes
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerPort.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerPort.kt
@@ -4,6 +4,7 @@
 import cicadagauge.gateway.RequestRegistry
 import cicadagauge.identity.Address
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
@@ -15,7 +16,9 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * A port on which requests arrive.
+ * A port on which requests arrive. Each connection is read until nothing is left, so that its end is noticed in the same
+ * turn of the event loop as the request before it. A VM that is short of processor time would otherwise run requests
+ * whose callers left long ago.
  *
  * @param connections the open connections of all ports, which [CallerLimits.connections] bounds
  * @param acceptsRelays whether other VMs may relay requests to this port
@@ -31,9 +34,13 @@
     fun bind(address: Address): ChannelFuture = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingToTheEnd())
         .childHandler(Initializer())
         .bind(address.host, address.port)
 
+    private fun readingToTheEnd() =
+        AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_TURN)
+
     private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             if (connections.size >= limits.connections) {
@@ -50,4 +57,8 @@
             )
         }
     }
+
+    private companion object {
+        const val MAX_READS_PER_TURN = 16
+    }
 }
