Renew the waivers of idle customers in one message a coordinator

Cause: each VM renews the waiver of each customer's portion every 0.4 s with a message of its own, at a coordinator of its own, whether or not the customer sends requests there: VMs x customers messages, and as many replies. Ruled out: longer waivers (a restarted VM may use its seat only once the waivers before it have run out). Change: customers share coordinators, eight groups of them; renewals without a demand go to each as one message, which both sides take apart into the single requests and replies, so that the rate's bound rests on the same state and times. CustomerRateTest, LateCoordinatorTest and SlowCoordinatorTest pass as before. VMs of an older version can't read the two new messages: during a rolling update they answer late (not tested).

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -98,6 +98,36 @@
         val leave: Boolean = false,
     ) : PeerMessage
 
+    /**
+     * Several [BudgetRequest]s in one, of [customers] of whom the sender needs no tokens: it only renews the waivers
+     * of its portions. Their sequences, in the same order, are [baseSequence] plus each of [offsets].
+     */
+    @Serializable
+    @SerialName("WaiverRenewal")
+    public data class WaiverRenewal(
+        val customers: List<CustomerName>,
+        val baseSequence: Long,
+        val offsets: List<Long>,
+        val stamp: Moment?,
+        val waiver: Duration,
+    ) : PeerMessage
+
+    /**
+     * The answer to a [WaiverRenewal], as several [BudgetReply]s without tokens: those of [customers] with the
+     * sequences that [baseSequence] and [offsets] give, in the same order. For customers in [settling] the coordinator
+     * has had portions for a short time only.
+     */
+    @Serializable
+    @SerialName("WaiverReply")
+    public data class WaiverReply(
+        val customers: List<CustomerName>,
+        val baseSequence: Long,
+        val offsets: List<Long>,
+        val stamp: Moment,
+        val released: Boolean = false,
+        val settling: List<CustomerName> = emptyList(),
+    ) : PeerMessage
+
     /**
      * Lends [tokens] in answer to the [BudgetRequest] with the same [sequence].
      *
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -63,6 +63,9 @@
                 PeerMessage.Digest(DeclarationVersion(4), listOf(RecordDigest(pool, Term(3), RecordVersion(7)))),
                 PeerMessage.BudgetRequest(CustomerName("t"), 5, Moment(12), 2.seconds, 3),
                 PeerMessage.BudgetRequest(CustomerName("t"), 5, null, 2.seconds, 3),
+                PeerMessage.WaiverRenewal(listOf("t", "u").map(::CustomerName), 5, listOf(0, 4), null, 2.seconds),
+                PeerMessage.WaiverReply(listOf(CustomerName("t")), 5, listOf(0), Moment(12), released = true),
+                PeerMessage.WaiverReply(emptyList(), 5, emptyList(), Moment(12), settling = listOf(CustomerName("t"))),
                 PeerMessage.BudgetReply(CustomerName("t"), 5, Moment(12), 3),
                 PeerMessage.BudgetReply(CustomerName("t"), 5, Moment(12), 0, released = true, settling = true),
                 PeerMessage.Reserve(
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudgets.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/CustomerBudgets.kt
@@ -85,6 +85,16 @@
         return PeerMessage.BudgetReply(request.customer, request.sequence, now, tokens, request.leave, settling)
     }
 
+    /** Answers [renewal] of VM [from] as the coordinator; null where no reply is due. */
+    fun answerRenewal(from: VmId, renewal: PeerMessage.WaiverRenewal, now: Moment): PeerMessage.WaiverReply? {
+        val replies = WaiverRenewals.requests(renewal).mapNotNull { answerRequest(from, it, now) }
+        return WaiverRenewals.combineReplies(replies, now)
+    }
+
+    /** Handles a coordinator's reply for several customers. */
+    fun handleWaiverReply(from: VmId, reply: PeerMessage.WaiverReply, now: Moment): Unit =
+        WaiverRenewals.replies(reply).forEach { handleReply(from, it, now) }
+
     /** Handles a coordinator's reply and decides about the requests that waited for it. */
     fun handleReply(from: VmId, reply: PeerMessage.BudgetReply, now: Moment) {
         val account = accounts[reply.customer] ?: return
@@ -100,10 +110,12 @@
 
     /** Admits the waiting requests that have a token by now, and requests tokens for every customer where it is due. */
     private fun requestDueTokens(now: Moment) {
+        val requests = LinkedHashMap<Vm, MutableList<PeerMessage.BudgetRequest>>()
         for (account in accounts.values) {
             account.admitWaiting(now)
-            requestTokens(account, now)
+            requestTokens(account, now) { vm, request -> requests.getOrPut(vm) { ArrayList() } += request }
         }
+        requests.forEach { (vm, list) -> WaiverRenewals.combine(list).forEach { vms.send(vm, it) } }
     }
 
     /** Drops borrowed tokens and the waivers made to this VM, since its clock may have stopped meanwhile. */
@@ -131,7 +143,11 @@
         timers.at(now + settings.requestInterval / 2, ::start)
     }
 
-    private fun requestTokens(account: Account, now: Moment) {
+    private fun requestTokens(
+        account: Account,
+        now: Moment,
+        send: (Vm, PeerMessage.BudgetRequest) -> Unit = vms::send,
+    ) {
         if (!account.budget.isRequestDue(account.waiting.size, now)) return
         val coordinator = coordinatorFor(account) ?: return
         val leave = coordinator != vms.responsibleFor(account.duty)
@@ -139,7 +155,7 @@
         if (coordinator.id == vms.self) {
             answerRequest(vms.self, request, now)?.let { handleReply(vms.self, it, now) }
         } else {
-            vms.send(coordinator, request)
+            send(coordinator, request)
             timers.at(account.budget.answerDue()) { answerDue(account, coordinator.id, request.sequence, it) }
         }
     }
@@ -167,7 +183,7 @@
     private inner class Account(val customer: CustomerName, portion: Portion) {
         val budget = CustomerBudget(customer, portion, settings, roundTrips, seats::usableFrom, start)
         val waiting = ArrayDeque<WaitingRequest>()
-        val duty = "budget/$customer"
+        val duty = WaiverRenewals.dutyOf(customer)
         private var nextGiveUp = Moment.FUTURE
 
         /** Admits as many waiting requests as there are tokens for. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -203,8 +203,10 @@
             is PeerMessage.Denied -> dispatcher.denied(from, message, now)
             is PeerMessage.Release -> dispatcher.homeSchedulers.release(from, message, now)
             is PeerMessage.Holding -> dispatcher.homeSchedulers.reconcilePermits(from, message, now)
-            is PeerMessage.BudgetRequest -> answerBudgetRequest(from, message, now)
+            is PeerMessage.BudgetRequest -> reply(from, budgets.answerRequest(from, message, now))
             is PeerMessage.BudgetReply -> budgets.handleReply(from, message, now)
+            is PeerMessage.WaiverRenewal -> reply(from, budgets.answerRenewal(from, message, now))
+            is PeerMessage.WaiverReply -> budgets.handleWaiverReply(from, message, now)
             is PeerMessage.RecordUpdate -> adoptRecord(message.record, from, now)
             is PeerMessage.DeclarationUpdate -> adoptDeclaration(message.text, from, now)
             is PeerMessage.Digest -> disseminator.handleDigest(from, message, now)
@@ -239,9 +241,8 @@
         budgets.coordinatorLeft(vm, now)
     }
 
-    private fun answerBudgetRequest(from: VmId, message: PeerMessage.BudgetRequest, now: Moment) {
-        val reply = budgets.answerRequest(from, message, now) ?: return
-        vms.vm(from)?.let { vms.send(it, reply) }
+    private fun reply(to: VmId, message: PeerMessage?) {
+        if (message != null) vms.vm(to)?.let { vms.send(it, message) }
     }
 
     private fun configure(declaration: Declaration, now: Moment) {
