--- a/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/explain/RequestHistory.kt
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/explain/RequestHistory.kt
@@ -88,7 +88,8 @@
         private val STATE_CHANGE_WINDOW: Duration = 3.seconds
         private val STATE_CHANGE_EVENTS = setOf(
             "started", "stopping", "declaration-in-force", "zone-out", "duty-taken", "duty-lost", "owners-changed",
-            "fence-refused", "store-reachable", "upstream-reachable", "suspended", "registration-unreadable",
+            "fence-refused", "owner-suspected", "store-reachable", "upstream-reachable", "suspended",
+            "registration-unreadable",
         )
 
         /** Collects the events of request [id] and the state changes around them from log [lines]. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -8,6 +8,7 @@
 import cicadagauge.identity.Moment
 import cicadagauge.identity.VmId
 import cicadagauge.node.StateChange
+import cicadagauge.node.WatchResult
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
 import kotlin.time.Duration
@@ -63,7 +64,13 @@
         is StateChange.Suspended -> write("suspended", "unseen" to change.unseen)
         is StateChange.UpstreamsReached -> write("upstreams-reached", "reached" to change.reached)
         is StateChange.StoreReachable -> write("store-reachable", "reachable" to change.reachable)
-        is StateChange.WatchEnded -> write(
+        is StateChange.WatchEnded -> writeWatchEnd(change)
+    }
+
+    /** A watch that the store has answered is the normal case, which the counter of state changes shows. */
+    private fun writeWatchEnd(change: StateChange.WatchEnded) {
+        if (change.result is WatchResult.Reported) return
+        write(
             "store-watch-ended",
             "prefix" to change.prefix,
             "result" to change.result,
