--- a/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationWriter.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationWriter.kt
@@ -53,6 +53,7 @@
         `class` = route.requestClass.name.lowercase(),
         idempotent = route.idempotent,
         deadlineMillis = route.deadline.inWholeMilliseconds,
+        targetMillis = route.targetLatency?.inWholeMilliseconds,
         open = route.open,
     )
 
@@ -96,6 +97,7 @@
         val `class`: String,
         val idempotent: Boolean,
         val deadlineMillis: Long,
+        val targetMillis: Long?,
         val open: Boolean,
     )
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerPort.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerPort.kt
@@ -16,9 +16,9 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * A port on which requests arrive. Each connection is read until nothing is left, so that its end is noticed in the same
- * turn of the event loop as the request before it. A VM that is short of processor time would otherwise run requests
- * whose callers left long ago.
+ * A port on which requests arrive. Each connection is read until nothing is left, so that its end is noticed in the
+ * same turn of the event loop as the request before it. A VM that is short of processor time would otherwise run
+ * requests whose callers left long ago.
  *
  * @param connections the open connections of all ports, which [CallerLimits.connections] bounds
  * @param acceptsRelays whether other VMs may relay requests to this port
@@ -31,12 +31,13 @@
     private val acceptsRelays: Boolean,
 ) {
     /** Binds [address]. */
-    fun bind(address: Address): ChannelFuture = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingToTheEnd())
-        .childHandler(Initializer())
-        .bind(address.host, address.port)
+    fun bind(address: Address): ChannelFuture =
+        ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingToTheEnd())
+            .childHandler(Initializer())
+            .bind(address.host, address.port)
 
     private fun readingToTheEnd() =
         AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_TURN)
