--- a/cicadagauge-api/src/main/kotlin/cicadagauge/declaration/Declaration.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/declaration/Declaration.kt
@@ -108,8 +108,6 @@
  * @property requestClass priority of the requests, unless [Customer.requestClass] is set.
  * @property idempotent whether a request that may have run can be sent to an upstream again.
  * @property deadline maximum time from the arrival of a request to its answer; a caller can only shorten it.
- * @property targetLatency time within which callers want the answer, which is worth less to them later; null if only
- * the [deadline] counts.
  * @property open whether requests are accepted without a customer's key.
  * @property prefix host and path prefix to match instead of [methods] and [path].
  * @property split pools among which the requests are divided by weight; if empty, all go to [pool].
@@ -128,7 +126,6 @@
     val prefix: HostPrefix? = null,
     val split: List<PoolShare> = emptyList(),
     val maxAttempts: Int = DeclarationDefaults.MAX_ATTEMPTS,
-    val targetLatency: Duration? = null,
 )
 
 /**
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/RelayedRequest.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/RelayedRequest.kt
@@ -5,7 +5,6 @@
 import cicadagauge.identity.CustomerName
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.Slot
-import kotlin.time.Duration
 
 /**
  * The parameters of a request that another VM has admitted, as its home VM needs them to schedule it.
@@ -15,7 +14,6 @@
  * @property zone availability zone whose upstreams may serve a request without a [slot], or null.
  * @property maySpill whether the home VM refuses the request rather than queueing it for long, because the admitting VM
  * can try another zone.
- * @property targetLead how long before its deadline the request should be answered.
  */
 public data class RelayedRequest(
     val pool: PoolName,
@@ -26,5 +24,4 @@
     val maxRuns: Int,
     val zone: AvailabilityZone?,
     val maySpill: Boolean,
-    val targetLead: Duration = Duration.ZERO,
 )
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -156,7 +156,6 @@
      * @property zone availability zone whose upstreams may serve a request without a [slot], or null.
      * @property maySpill whether the home VM refuses the request rather than queueing it for long, because the sender
      * can try another zone.
-     * @property targetLead how long before its deadline the request should be answered.
      */
     @Serializable
     @SerialName("Reserve")
@@ -169,7 +168,6 @@
         val timeLeft: Duration,
         val zone: AvailabilityZone?,
         val maySpill: Boolean,
-        val targetLead: Duration = Duration.ZERO,
     ) : PeerMessage
 
     /** Grants the permit for a [Reserve]: the request may be sent to [upstream] now. */
--- a/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationWriter.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationWriter.kt
@@ -53,7 +53,6 @@
         `class` = route.requestClass.name.lowercase(),
         idempotent = route.idempotent,
         deadlineMillis = route.deadline.inWholeMilliseconds,
-        targetMillis = route.targetLatency?.inWholeMilliseconds,
         open = route.open,
     )
 
@@ -97,7 +96,6 @@
         val `class`: String,
         val idempotent: Boolean,
         val deadlineMillis: Long,
-        val targetMillis: Long?,
         val open: Boolean,
     )
 
--- a/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/YamlDeclarationReader.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/YamlDeclarationReader.kt
@@ -173,7 +173,6 @@
         val pool = fields.text("pool")?.let(::PoolName)
         val key = fields.mapping("key")?.let { key(it, path) }
         val deadline = fields.int("deadlineMillis", DeclarationDefaults.DEADLINE_MILLIS_RANGE, DEFAULT_DEADLINE_MILLIS)
-        val target = fields.optionalInt("targetMillis", DeclarationDefaults.DEADLINE_MILLIS_RANGE)
         val route = Route(
             name = name ?: RouteName(""),
             path = path.orEmpty(),
@@ -184,7 +183,6 @@
             idempotent = fields.boolean("idempotent", false),
             deadline = (deadline ?: DEFAULT_DEADLINE_MILLIS).milliseconds,
             open = fields.boolean("open", false),
-            targetLatency = target?.milliseconds,
         )
         fields.reportUnknownFields()
         check(fields, route)
--- a/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/YamlNodes.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/YamlNodes.kt
@@ -44,9 +44,6 @@
     /** The value of the optional field [name]. */
     fun optionalText(name: String): String? = lookUp(name)?.let { scalar(it, name) }
 
-    /** The integer in field [name], which must be in [range], or null where the field is missing. */
-    fun optionalInt(name: String, range: IntRange): Int? = lookUp(name)?.let { int(name, range, default = range.first) }
-
     /** The integer in field [name], which must be in [range]. The field is required if [default] is null. */
     fun int(name: String, range: IntRange, default: Int?): Int? {
         val value = (if (default == null) required(name) else lookUp(name)) ?: return default
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
@@ -63,7 +63,6 @@
         val refusal = refusalFor(match, customer, key, slot, limit)
         if (refusal != null) return effects.add(Effect.Refuse(id, refusal))
         if (head.readLag >= limit) return refuse(id, Reason.DeadlineBeforeRun, "the process could not read it in time")
-        val timeLimit = minOf(limit, route.deadline)
         val request = PendingRequest(
             id = id,
             pool = match.pool,
@@ -71,8 +70,7 @@
             idempotent = route.idempotent,
             customer = customer?.name ?: PendingRequest.NO_CUSTOMER,
             slot = slot.takeIf { match.pool.keyed },
-            deadline = now + timeLimit - head.readLag,
-            targetLead = maxOf(Duration.ZERO, timeLimit - (route.targetLatency ?: timeLimit)),
+            deadline = now + minOf(limit, route.deadline) - head.readLag,
             maxRuns = route.maxAttempts,
             head = RequestDigests.of(head),
             zoneSelector = dispatcher.homeDirectory.zoneSelectorFor(match.pool),
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -122,7 +122,6 @@
             isRelayedHere = true,
             maxRuns = relayed.maxRuns,
             head = RequestDigests.of(head),
-            targetLead = relayed.targetLead,
             zoneSelector = ZoneSelector(listOfNotNull(relayed.zone), isFinal = !relayed.maySpill),
         )
         accept(request, now)
@@ -277,7 +276,6 @@
             timeLeft = request.deadline - now,
             zone = request.zoneSelector.zone,
             maySpill = request.zoneSelector.maySpill,
-            targetLead = request.targetLead,
         )
         if (home == vms.self || homeVm == null) {
             schedulers.reserve(vms.self, message, now)
@@ -308,7 +306,6 @@
             maxRuns = request.maxRuns - request.runs,
             zone = request.zoneSelector.zone,
             maySpill = request.zoneSelector.maySpill,
-            targetLead = request.targetLead,
         )
         // Wait past the deadline: the home answers before it, and only the home knows whether the request has run.
         val giveUpAt = request.deadline + settings.relayMargin
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/HomeSchedulers.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/HomeSchedulers.kt
@@ -57,7 +57,6 @@
             requestClass = message.requestClass,
             customer = message.customer,
             deadline = now + message.timeLeft,
-            wantedBy = now + message.timeLeft - message.targetLead,
             zone = message.zone,
             maySpill = message.maySpill,
             since = now,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
@@ -13,7 +13,6 @@
 import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
 import cicadagauge.peer.CrashRecord
-import kotlin.time.Duration
 
 /**
  * A request that a VM has accepted and not yet answered.
@@ -23,7 +22,6 @@
  *     even if by its own view of the VMs another one is.
  * @property maxRuns how many attempts may have run at an upstream before the request is no longer retried
  * @property head the digest of the request's head
- * @property targetLead how long before its deadline the request should be answered
  * @property zoneSelector the zones that may serve a request without a key
  */
 internal class PendingRequest(
@@ -37,7 +35,6 @@
     val isRelayedHere: Boolean = false,
     val maxRuns: Int = DeclarationDefaults.MAX_ATTEMPTS,
     val head: HeadDigest,
-    val targetLead: Duration = Duration.ZERO,
     val zoneSelector: ZoneSelector = ZoneSelector(emptyList()),
 ) {
     var state: State = State.Idle
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
@@ -25,6 +25,7 @@
 import cicadagauge.routing.OwnerDirectory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * A request for a permit to run at an upstream.
@@ -33,7 +34,6 @@
  * @property slot the slot of the request's key; null for a pool without keys
  * @property zone the availability zone that is to serve a request without a key
  * @property maySpill whether the request should rather be denied than wait long, because it can try another zone
- * @property wantedBy until when the request should be answered
  * @property since when the reservation arrived
  */
 internal data class Reservation(
@@ -43,7 +43,6 @@
     override val requestClass: RequestClass,
     override val customer: CustomerName,
     val deadline: Moment,
-    val wantedBy: Moment = deadline,
     val zone: AvailabilityZone?,
     val maySpill: Boolean,
     val since: Moment,
@@ -74,7 +73,7 @@
 ) {
     private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
     private val usable = HashSet<UpstreamId>()
-    private val queues = HashMap<Target, DispatchQueue>()
+    private val queues = HashMap<Target, FairQueue<Reservation>>()
     private val permits = HashMap<ReservationKey, Permit>()
     private val queued = HashSet<ReservationKey>()
     private val requestsPerBucket = HashMap<Int, Int>()
@@ -107,9 +106,10 @@
         if (key in queued) return
         countRequest(reservation)
         val target = targetOf(reservation)
-        val queue = queueOf(target)
+        val queue = queues.getOrPut(target) { FairQueue() }
         val refusal = denialFor(reservation, target, queue, now)
         if (refusal != null) return output.denied(reservation, refusal, now)
+        queue.add(reservation)
         queued += key
         grantPermits(target, now)
     }
@@ -136,7 +136,7 @@
         val waiting = queues.values.flatMap { it.drain() }
         queues.clear()
         loads.values.forEach { it.endPause() }
-        waiting.forEach { queueOf(targetOf(it)).add(it, now) }
+        waiting.forEach { queues.getOrPut(targetOf(it)) { FairQueue() }.add(it) }
         queues.keys.toList().forEach { grantPermits(it, now) }
     }
 
@@ -202,8 +202,6 @@
         queues.values.forEach { queue -> queue.removeIf { it.entry == key.entry && it.id == key.id } }
     }
 
-    private fun queueOf(target: Target) = queues.getOrPut(target) { DispatchQueue() }
-
     private fun targetOf(reservation: Reservation): Target {
         val slot = reservation.slot ?: return Target(owner = null, zone = reservation.zone)
         return Target(owners[pool.name]?.ownerOf(slot))
@@ -243,55 +241,77 @@
     private fun usableIn(zone: AvailabilityZone): List<UpstreamLoad> =
         loads.values.filter { it.upstream.zone == zone && it.upstream.id in usable }
 
-    /** Queues [reservation] and returns null, or returns why it is denied. */
-    private fun denialFor(reservation: Reservation, target: Target, queue: DispatchQueue, now: Moment): Refusal? {
+    private fun denialFor(
+        reservation: Reservation,
+        target: Target,
+        queue: FairQueue<Reservation>,
+        now: Moment,
+    ): Refusal? {
         if (!pool.keyed && target.zone?.let(::usableIn).isNullOrEmpty()) {
             return Refusal(Reason.NoUpstream, "the pool has no upstream in service")
         }
-        val capacity = capacityOf(target, now)
         if (queue.countOf(reservation.customer) >= settings.customerQueueLimit ||
             queued.size >= settings.poolQueueLimit
         ) {
-            return Refusal(Reason.Overloaded, "too many requests wait", queue.retryAfter(capacity))
+            return Refusal(Reason.Overloaded, "too many requests wait", expectedWait(target, reservation, queue, now))
         }
         if (isStalled(target, now)) return STALLED
-        val wait = queue.expectedWait(reservation.requestClass, reservation.customer, capacity)
+        val wait = expectedWait(target, reservation, queue, now)
         if (reservation.maySpill && wait > settings.spillWait) {
             return Refusal(Reason.Overloaded, "another zone may be sooner", wait)
         }
-        if (queue.offer(reservation, capacity, now)) return null
-        return Refusal(Reason.Overloaded, "the queue is longer than the deadline", queue.retryAfter(capacity))
+        if (now + wait + averageDurationAt(target) * MIN_RUN_FRACTION <= reservation.deadline) return null
+        return Refusal(Reason.Overloaded, "the queue is longer than the deadline", wait)
     }
 
-    private fun capacityOf(target: Target, now: Moment): TargetCapacity {
+    private fun expectedWait(
+        target: Target,
+        reservation: Reservation,
+        queue: FairQueue<Reservation>,
+        now: Moment,
+    ): Duration = waitEstimator(target, now)(queue.countAhead(reservation.requestClass, reservation.customer))
+
+    /**
+     * Returns a function that estimates the wait at [target] from the number of requests ahead. If no permit is free, a
+     * running request has to end first.
+     */
+    private fun waitEstimator(target: Target, now: Moment): (ahead: Int) -> Duration {
         val serving = upstreamsOf(target)
-        // Without an owner nothing is known, and the request waits for one.
-        if (serving.isEmpty()) return TargetCapacity(Duration.ZERO, Double.POSITIVE_INFINITY, true, Duration.ZERO)
-        return TargetCapacity(
-            pause = serving.minOf { it.remainingPause(now) },
-            rate = serving.sumOf { it.expectedRate(now) },
-            isFree = serving.any { it.hasCapacity(now) },
-            run = serving.fold(Duration.ZERO) { sum, load -> sum + load.averageDuration } / serving.size,
-        )
+        if (serving.isEmpty()) return { Duration.ZERO }
+        val isFree = serving.any { it.hasCapacity(now) }
+        val pause = serving.minOf { it.remainingPause(now) }
+        val rate = serving.sumOf { it.expectedRate(now) }
+        return { ahead ->
+            if (ahead == 0 && isFree) Duration.ZERO else pause + ((ahead + MEAN_COMPLETION_FRACTION) / rate).seconds
+        }
     }
 
     /** Denies the requests that can no longer be answered in time, because too many others have overtaken them. */
-    private fun denyUnservable(target: Target, queue: DispatchQueue, now: Moment) {
-        val capacity = capacityOf(target, now)
-        val unservable = queue.removeUnservable(capacity, now)
-        if (unservable.isEmpty()) return
-        val refusal = Refusal(Reason.Overloaded, "others went before it", queue.retryAfter(capacity))
+    private fun denyUnservable(target: Target, queue: FairQueue<Reservation>, now: Moment) {
+        val run = averageDurationAt(target) * MIN_RUN_FRACTION
+        val wait = waitEstimator(target, now)
+        val unservable = queue.removeByPosition { reservation, ahead ->
+            now + wait(ahead) + run > reservation.deadline + DENIAL_MARGIN
+        }
+        val refusal = Refusal(Reason.Overloaded, "others went before it", wait(queue.size))
         unservable.forEach { deny(it, refusal, now) }
     }
 
     private fun upstreamsOf(target: Target): List<UpstreamLoad> =
         target.zone?.let(::usableIn) ?: listOfNotNull(loads[target.owner])
 
+    /** The average duration of a request at [target]. */
+    private fun averageDurationAt(target: Target): Duration {
+        val serving = upstreamsOf(target)
+        if (serving.isEmpty()) return Duration.ZERO
+        return serving.fold(Duration.ZERO) { sum, load -> sum + load.averageDuration } / serving.size
+    }
+
     /** Removes and returns the next request that can still be answered in time; denies those before it. */
-    private fun pollServable(queue: DispatchQueue, load: UpstreamLoad, now: Moment): Reservation? {
+    private fun pollServable(queue: FairQueue<Reservation>, load: UpstreamLoad, now: Moment): Reservation? {
         while (true) {
-            val reservation = queue.poll(load.averageDuration, now) ?: return null
-            if (now + load.averageDuration * DispatchQueue.MIN_RUN_FRACTION <= reservation.deadline) return reservation
+            val reservation = queue.poll() ?: return null
+            if (now + load.averageDuration * MIN_RUN_FRACTION <= reservation.deadline) return reservation
             deny(reservation, DEADLINE_BEFORE_RUN, now)
         }
     }
@@ -301,8 +321,18 @@
     private class Permit(val upstream: UpstreamId, val since: Moment, val expiresAt: Moment)
 
     private companion object {
+        /**
+         * The fraction of the average duration that must be left before the deadline for a request to start. With less
+         * time it would most likely only use up a permit.
+         */
+        const val MIN_RUN_FRACTION = 0.7
         val RETRY_AFTER: Duration = 200.milliseconds
 
+        /** With all permits taken, the first is free after half the interval between two completions on average. */
+        const val MEAN_COMPLETION_FRACTION = 0.5
+
+        /** A queued request is not denied when the estimate exceeds its deadline only slightly. */
+        val DENIAL_MARGIN: Duration = 30.milliseconds
         val NO_CURRENT_OWNER = Target(owner = null)
         val DEADLINE_BEFORE_RUN =
             Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free", RETRY_AFTER)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/ProtocolHeaders.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/ProtocolHeaders.kt
@@ -34,9 +34,6 @@
     /** Between VMs: what the home VM needs to know of a relayed request. */
     public const val RELAY: String = "x-cicadagauge-relay"
 
-    /** Between VMs: how long before its deadline a relayed request should be answered, in milliseconds. */
-    public const val TARGET_LEAD: String = "x-cicadagauge-target-lead-ms"
-
     /** Between VMs: the id of the sending VM. */
     public const val VM: String = "x-cicadagauge-vm"
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -20,7 +20,6 @@
 import io.netty.handler.codec.http.HttpRequest
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** Tracks open requests and connects callers, the node that decides about requests and the upstreams that run them. */
 internal class RequestRegistry(
@@ -82,9 +81,7 @@
     fun relayed(request: HttpRequest): RelayedRequest? {
         val header = request.headers()[ProtocolHeaders.RELAY] ?: return null
         val isAuthenticated = deploymentSecret.matches(request.headers()[ProtocolHeaders.SECRET])
-        if (!isAuthenticated) return null
-        val targetLead = request.headers()[ProtocolHeaders.TARGET_LEAD]?.toLongOrNull() ?: 0L
-        return RelayHeader.read(header)?.copy(targetLead = targetLead.milliseconds)
+        return if (isAuthenticated) RelayHeader.read(header) else null
     }
 
     /** Records that [exchange] was refused without asking the node. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/Hop.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/Hop.kt
@@ -65,7 +65,6 @@
         ) { headers, remaining ->
             headers.set(ProtocolHeaders.SECRET, secret)
             headers.set(ProtocolHeaders.RELAY, RelayHeader.write(effect.request))
-            headers.set(ProtocolHeaders.TARGET_LEAD, effect.request.targetLead.inWholeMilliseconds.toString())
             headers.set(ProtocolHeaders.DEADLINE, maxOf(1L, remaining.inWholeMilliseconds).toString())
         }
     }
