--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/SilenceDetector.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/SilenceDetector.kt
@@ -20,6 +20,7 @@
     /** Checks the [monitored] VMs and returns whether any of them is now suspected. */
     fun check(monitored: Set<VmId>, now: Moment): Boolean {
         firstPingAt.keys.retainAll(monitored)
+        // Each of them is pinged, also where one is known to be silent.
         return monitored.count { isSilent(it, now) } > 0
     }
 
