--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -6,4 +6,4 @@
   echo "build first: the command of deploy/system.toml, then review/build.sh" >&2
   exit 2
 fi
-exec java -Xmx256m -cp 'target/review:target/lib/*' "review.$2" "$folder/record.txt"
+exec java -Xmx384m -cp 'target/review:target/lib/*' "review.$2" "$folder/record.txt"
--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -30,7 +30,7 @@
 
     final Store store = new Store();
     final boolean isTroubled = !"0".equals(System.getenv("TROUBLE"));
-    final List<Process> processes = new ArrayList<>();
+    final List<Process> processes = new java.util.concurrent.CopyOnWriteArrayList<>();
     private final PrintWriter record;
     private final long startNanos = System.nanoTime();
     private final Path folder = Files.createTempDirectory("review");
@@ -41,6 +41,7 @@
 
     Case(String recordFile) throws Exception {
         record = new PrintWriter(recordFile);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.forEach(Process::destroyForcibly)));
     }
 
     static Thread thread(String name, Task task) {
--- a/review/standins/Instance.java
+++ b/review/standins/Instance.java
@@ -6,11 +6,14 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * An instance of a service. It registers itself, runs requests and, where its service is divided by key, holds keys
@@ -51,11 +54,13 @@
     final String service;
     final String zone;
     final boolean isSharded;
-    final ServerSocket socket;
+    private final int port;
+    private volatile ServerSocket socket;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     final List<Hold> holds = new ArrayList<>();
     final List<Run> runs = new ArrayList<>();
     private final long[] fences = new long[65_536];
-    private final long born = System.currentTimeMillis();
+    private volatile long born = System.currentTimeMillis();
     private volatile String state = "ready";
     private int handovers;
 
@@ -66,16 +71,51 @@
         this.zone = zone;
         this.isSharded = isSharded;
         socket = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        port = socket.getLocalPort();
         Case.thread(id, this::accept);
         Case.thread(id + "-beat", this::beat);
     }
 
     String address() {
-        return "127.0.0.1:" + socket.getLocalPort();
+        return "127.0.0.1:" + port;
+    }
+
+    /** Ends this run: closes the port, and resets all connections, as a process does that has not read all of them. */
+    void crash() throws Exception {
+        the.log(id + " crashes");
+        socket.close();
+        for (Socket connection : open) {
+            try {
+                connection.setSoLinger(true, 0);
+                connection.close();
+            } catch (java.net.SocketException e) {
+                // It has been closed meanwhile.
+            }
+        }
+        open.clear();
+        synchronized (holds) {
+            holds.clear();
+        }
+    }
+
+    /** Starts again under the same id, with a new time of birth. */
+    void restart() throws Exception {
+        ServerSocket next = new ServerSocket();
+        next.setReuseAddress(true);
+        next.bind(new InetSocketAddress("127.0.0.1", port), 200);
+        born = System.currentTimeMillis();
+        socket = next;
+        Case.thread(id, this::accept);
+        the.log(id + " has started again");
+    }
+
+    boolean isDown() {
+        return socket.isClosed();
     }
 
     private void beat() throws Exception {
         for (int seq = 1;; seq++) {
+            while (isDown()) Thread.sleep(50);
             ObjectNode entry = Store.JSON.createObjectNode().put("service", service).put("address", address());
             entry.put("zone", zone).put("version", "v1").put("slots", 2).put("state", state).put("coldLeftS", 0);
             entry.put("seq", seq).put("born", born);
@@ -85,9 +125,11 @@
     }
 
     private void accept() throws Exception {
+        ServerSocket own = socket;
         while (true) {
-            Socket connection = socket.accept();
+            Socket connection = own.accept();
             connection.setTcpNoDelay(true);
+            open.add(connection);
             Case.thread(id + "-connection", () -> serve(connection));
         }
     }
@@ -115,6 +157,8 @@
                     request(connection, in, out, head);
                 }
             }
+        } finally {
+            open.remove(connection);
         }
     }
 
