--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -28,6 +29,10 @@
     static final int BROKEN = 1;
     static final int NOT_RUN = 2;
 
+    /** VMs have the addresses 127.0.0.11, 127.0.0.12 and so on. */
+    private static final int FIRST_VM = 11;
+    private static final int VMS = 3;
+
     final Store store = new Store();
     final boolean isTroubled = !"0".equals(System.getenv("TROUBLE"));
     final List<Process> processes = new java.util.concurrent.CopyOnWriteArrayList<>();
@@ -35,9 +40,9 @@
     private final long startNanos = System.nanoTime();
     private final Path folder = Files.createTempDirectory("review");
     private int configVersion = 3;
-    private final int frontPort = freePort();
-    private final int readyPort = freePort();
-    private final int peerPort = freePort();
+    private final int frontPort = freePorts();
+    private final int readyPort = frontPort + 1;
+    private final int peerPort = frontPort + 2;
 
     Case(String recordFile) throws Exception {
         record = new PrintWriter(recordFile);
@@ -69,9 +74,22 @@
         }
     }
 
-    static int freePort() throws Exception {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return probe.getLocalPort();
+    /** The first of four ports that are free at the addresses of all VMs, below those that connections get. */
+    private static int freePorts() {
+        Random random = new Random();
+        while (true) {
+            int first = 20_000 + random.nextInt(2_900) * 4;
+            boolean isFree = true;
+            for (int i = 0; i < 4 * VMS; i++) isFree &= isFree("127.0.0." + (FIRST_VM + i % VMS), first + i / VMS);
+            if (isFree) return first;
+        }
+    }
+
+    private static boolean isFree(String ip, int port) {
+        try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
+            return true;
+        } catch (java.io.IOException e) {
+            return false;
         }
     }
 
@@ -183,15 +201,23 @@
 
     /** Runs [task]; a case that fails for another reason than a broken rule could not run. */
     static void main(String recordFile, CaseTask task) throws Exception {
-        Case the = new Case(recordFile);
+        Case the;
+        try {
+            the = new Case(recordFile);
+        } catch (Exception e) {
+            e.printStackTrace();
+            Runtime.getRuntime().halt(NOT_RUN);
+            return;
+        }
         the.log(the.isTroubled ? "with the disruption" : "without the disruption");
+        Case started = the;
         thread("limit", () -> {
             Thread.sleep(115_000);
-            the.end(NOT_RUN, "NOT RUN: the case took too long");
+            started.end(NOT_RUN, "NOT RUN: the case took too long");
         });
         try {
             task.run(the);
-        } catch (Exception e) {
+        } catch (Throwable e) {
             e.printStackTrace();
             the.end(NOT_RUN, "NOT RUN: " + e);
         }
--- a/review/standins/Case1.java
+++ b/review/standins/Case1.java
@@ -18,12 +18,12 @@
  * 503 and Not-Executed, and read on later. Every request that runs must run with the body that its client sent.
  */
 public final class Case1 {
-    private static final int REQUESTS = 600;
+    private static final int REQUESTS = 1500;
     private static final int BODY_BYTES = 200_000;
     private static final int PIECE_BYTES = 8_000;
 
     /** The share of its requests that a faulty instance rejects early. */
-    private static final double REJECTED = 0.05;
+    private static final double REJECTED = 0.02;
 
     private static final Map<String, String> sent = new ConcurrentHashMap<>();
     private static final Map<String, byte[]> bodies = new ConcurrentHashMap<>();
--- a/review/standins/Case2.java
+++ b/review/standins/Case2.java
@@ -1,6 +1,5 @@
 package review;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.BufferedInputStream;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -10,172 +9,151 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A service that is divided by key, in three zones that operators take out one after the other. Some of its instances
- * are faulty: after a few of their answers they send the same answer again, late, where the next answer on that
- * connection is expected. No instance may be given a key on which another one is still at work under its hold.
+ * Instances of a service reject a part of their requests, and some of them send a few of their answers a second time,
+ * late, where the next answer on that connection is expected, with the id of the request that it answered. A request
+ * that isn't idempotent runs at most once, and one that is refused with 429 or 503 never runs.
  */
 public final class Case2 {
     private static final String[] ZONES = {"sapporo", "asahikawa", "hakodate"};
-    private static final int PER_ZONE = 5;
-    private static final int FAULTY = 9;
-
-    /** The share of its answers after which a faulty instance sends the same answer again. */
+    private static final int[] PER_ZONE = {3, 2, 2};
+    private static final double REJECTED = 0.55;
     private static final double EXTRA = 0.03;
-    private static final double LENGTH = 95;
+    private static final double EPISODE = 8.5;
+    private static final double PAUSE = 1;
+    private static final double LENGTH = 85;
 
-    private static final List<Catalogue> instances = new ArrayList<>();
+    private static final Map<String, List<String>> ran = new ConcurrentHashMap<>();
+    private static final Map<String, Integer> answers = new ConcurrentHashMap<>();
+    private static final AtomicInteger rejected = new AtomicInteger();
     private static final AtomicInteger extras = new AtomicInteger();
-    private static final AtomicInteger broken = new AtomicInteger();
-    private static final AtomicInteger moves = new AtomicInteger();
-    private static final AtomicInteger served = new AtomicInteger();
     private static volatile boolean isOver;
+    private static volatile boolean isGrey;
 
     public static void main(String[] args) throws Exception {
         Case.main(args[0], Case2::run);
     }
 
     private static void run(Case the) throws Exception {
-        the.configure(List.of(Case.service("catalogue", true)), List.of(Case.route("catalogue", "safe", "catalogue", 0.5)));
-        List<String> addresses = new ArrayList<>();
-        for (int i = 0; i < ZONES.length * PER_ZONE; i++) {
-            boolean isFaulty = the.isTroubled && i % 5 < 3;
-            instances.add(new Catalogue(the, "catalogue-" + i, ZONES[i / PER_ZONE], isFaulty, i));
+        the.configure(List.of(Case.service("loans", false)), List.of(Case.route("loans", "unsafe", "loans", 0.6)));
+        int number = 0;
+        for (int zone = 0; zone < ZONES.length; zone++) {
+            for (int i = 0; i < PER_ZONE[zone]; i++) {
+                new Loans(the, "loans-" + number, ZONES[zone], the.isTroubled && number % 2 == 0, number);
+                number++;
+            }
         }
+        List<String> addresses = new ArrayList<>();
         for (int i = 0; i < ZONES.length; i++) addresses.add(the.startVm(11 + i, ZONES[i]));
         for (int i = 0; i < ZONES.length; i++) {
             if (!the.awaitReady(11 + i)) the.end(Case.NOT_RUN, "NOT RUN: a VM is not ready");
         }
-        Thread.sleep(2000);
-        for (int i = 0; i < 36; i++) {
-            int number = i;
-            Case.thread("client-" + i, () -> {
-                for (int n = 0; !isOver; n++) send(the, addresses.get(number % addresses.size()), number, n);
-            });
+        Thread.sleep(1500);
+        Thread[] clients = new Thread[24];
+        for (int i = 0; i < clients.length; i++) {
+            int client = i;
+            clients[i] = Case.thread("client-" + i, () -> client(the, addresses.get(client % addresses.size()), client));
         }
-        for (int i = 0; the.seconds() < LENGTH; i++) {
-            String zone = ZONES[i % ZONES.length];
-            the.log("the operator evacuates " + zone);
-            the.store.put("op/evacuate/" + zone, "{}");
-            Thread.sleep(1500);
-            the.log("the operator takes " + zone + " back");
-            the.store.put("op/evacuate/" + zone, null);
-            Thread.sleep(700);
+        while (the.seconds() < LENGTH) {
+            isGrey = the.isTroubled;
+            the.log(isGrey ? "the instances are grey" : "the instances are well");
+            Thread.sleep((long) (EPISODE * 1000));
+            isGrey = false;
+            Thread.sleep((long) (PAUSE * 1000));
         }
         isOver = true;
-        Thread.sleep(1000);
-        String counts = served + " requests answered 200, " + moves + " grants to another instance, " + extras
-            + " extra answers to orders, " + broken + " grants of keys on which another instance was at work";
-        if (served.get() < 1000 || moves.get() < 20) the.end(Case.NOT_RUN, "NOT RUN: " + counts);
-        the.end(broken.get() > 0 ? Case.BROKEN : Case.HELD, (broken.get() > 0 ? "OWNER broken: " : "held: ") + counts);
+        for (Thread client : clients) client.join(2000);
+        int twice = 0;
+        int refused = 0;
+        int served = 0;
+        for (Map.Entry<String, List<String>> entry : ran.entrySet()) {
+            int status = answers.getOrDefault(entry.getKey(), 0);
+            if (status == 200) served++;
+            if (entry.getValue().size() > 1) {
+                twice++;
+                the.log("TWICE: " + entry.getKey() + " ran " + entry.getValue() + ", answered " + status);
+            } else if (status == 503 || status == 429 || status == 408 || status == 421) {
+                refused++;
+                the.log("REFUSED: " + entry.getKey() + " ran " + entry.getValue() + ", answered " + status);
+            }
+        }
+        String counts = answers.size() + " requests, " + served + " answered 200, " + rejected + " rejections, " + extras
+            + " extra answers, " + twice + " ran twice, " + refused + " refused as not run and have run";
+        if (served < 500) the.end(Case.NOT_RUN, "NOT RUN: " + counts);
+        boolean isBroken = twice + refused > 0;
+        the.end(isBroken ? Case.BROKEN : Case.HELD, (isBroken ? "TWICE, REFUSED broken: " : "held: ") + counts);
     }
 
-    private static void send(Case the, String address, int client, int n) throws Exception {
-        String request = String.format("%08x%08x", client, n);
+    private static void client(Case the, String address, int number) throws Exception {
+        Random random = new Random(number);
         String[] parts = address.split(":");
-        int key = new Random(client * 100_003L + n).nextInt(65_536);
-        int status = 0;
-        try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
-            socket.setTcpNoDelay(true);
-            socket.setSoTimeout(2000);
-            Wire.write(socket.getOutputStream(), "GET /catalogue/" + key + " HTTP/1.1\r\nHost: catalogue\r\nRequest-Id: "
-                + request + "\r\nDeadline-Ms: 500\r\nShard-Key: " + key + "\r\nConnection: close\r\n\r\n");
-            Wire.Head head = Wire.readHead(new BufferedInputStream(socket.getInputStream()));
-            status = head == null ? 0 : head.status();
-        } catch (java.io.IOException e) {
-            // No answer.
+        for (int n = 0; !isOver; n++) {
+            String request = String.format("%08x%08x", number, n);
+            int status = 0;
+            try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
+                socket.setTcpNoDelay(true);
+                socket.setSoTimeout(600);
+                Wire.write(socket.getOutputStream(), "POST /loans/book HTTP/1.1\r\nHost: loans\r\nRequest-Id: " + request
+                    + "\r\nDeadline-Ms: 600\r\nContent-Length: 4\r\nConnection: close\r\n\r\nloan");
+                Wire.Head head = Wire.readHead(new BufferedInputStream(socket.getInputStream()));
+                status = head == null ? 0 : head.status();
+            } catch (java.io.IOException e) {
+                // No answer.
+            }
+            answers.put(request, status);
+            the.log("client: " + request + " answered " + status);
+            Thread.sleep(50 + random.nextInt(100));
         }
-        if (status == 200) served.incrementAndGet();
-        the.log("client: " + request + " key " + key + " answered " + status);
-        if (status != 200) Thread.sleep(20);
     }
 
-    private static final class Catalogue extends Instance {
+    private static final class Loans extends Instance {
         private final boolean isFaulty;
         private final Random random;
+        private final Map<OutputStream, String> late = new HashMap<>();
 
-        /** Until when each key would be held by the last grant, whether or not it was released since. */
-        private final double[] heldUntil = new double[65_536];
-        private final Map<OutputStream, byte[]> late = new HashMap<>();
-
-        Catalogue(Case the, String id, String zone, boolean isFaulty, int seed) throws Exception {
-            super(the, id, "catalogue", zone, true);
+        Loans(Case the, String id, String zone, boolean isFaulty, int seed) throws Exception {
+            super(the, id, "loans", zone, false);
             this.isFaulty = isFaulty;
             random = new Random(seed + System.nanoTime());
         }
 
         @Override
-        void grant(InputStream in, OutputStream out, Wire.Head head) throws Exception {
-            sendLate(out);
-            super.grant(in, out, head);
-        }
-
-        @Override
-        void release(InputStream in, OutputStream out, Wire.Head head) throws Exception {
-            sendLate(out);
-            super.release(in, out, head);
-        }
-
-        @Override
-        void orderAnswered(OutputStream out, String status, String headers) {
-            String answer = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: 0\r\n\r\n";
-            synchronized (late) {
-                if (isFaulty && random.nextDouble() < EXTRA) late.put(out, answer.getBytes());
-            }
-        }
-
-        private void sendLate(OutputStream out) throws Exception {
-            byte[] extra;
+        void request(Socket connection, InputStream in, OutputStream out, Wire.Head head) throws Exception {
+            String request = head.get("request-id");
+            Wire.readBody(in, head, false, new Wire.Body());
+            String extra;
             synchronized (late) {
                 extra = late.remove(out);
             }
-            if (extra == null) return;
-            extras.incrementAndGet();
-            the.log(id + " sends an extra answer to its last order");
-            out.write(extra);
-            out.flush();
-        }
-
-        @Override
-        boolean accept(JsonNode json) {
-            int from = json.get("from").asInt();
-            int target = json.get("target").asInt();
-            double now = the.seconds();
-            boolean isNew = !holdsKey(from) || !holdsKey(target);
-            if (!super.accept(json)) return false;
-            for (int key = from; key <= target; key++) heldUntil[key] = now + json.get("holdS").asDouble();
-            if (!isNew) return true;
-            moves.incrementAndGet();
-            for (Catalogue other : instances) {
-                if (other == this) continue;
-                for (Run run : other.running()) {
-                    double left = other.heldUntil[Math.max(0, run.key)] - now;
-                    if (run.key < from || run.key > target || run.start > now || left <= 0) continue;
-                    broken.incrementAndGet();
-                    the.log(id + " IS GIVEN KEY " + run.key + " while " + other.id + " is at work on it since "
-                        + String.format("%.4f", run.start) + " (" + run.request + "), whose hold lasts "
-                        + String.format("%.3f", left) + " s more");
-                    return true;
-                }
+            if (extra != null) {
+                extras.incrementAndGet();
+                the.log(id + " sends its last answer again: " + extra.split("Content")[0].replace("\r\n", " "));
+                Wire.write(out, extra);
             }
-            return true;
-        }
-
-        List<Run> running() {
-            List<Run> found = new ArrayList<>();
-            synchronized (runs) {
-                for (Run run : runs) if (run.end == Double.POSITIVE_INFINITY) found.add(run);
+            boolean isRejected;
+            synchronized (random) {
+                isRejected = isGrey && random.nextDouble() < REJECTED;
             }
-            return found;
-        }
-
-        @Override
-        void work(Run run, Wire.Head head, Wire.Body body) throws Exception {
-            Thread.sleep(60);
-            synchronized (runs) {
-                runs.removeIf(old -> old.end < run.start - 5);
+            byte[] answer = isRejected ? new byte[0] : answer(request);
+            String headers = isRejected ? echo(request) + "Not-Executed: 1\r\n" : seal(request);
+            String status = isRejected ? "503 Service Unavailable" : "200 OK";
+            if (isRejected) {
+                rejected.incrementAndGet();
+                the.log(id + " rejects " + request);
+            } else {
+                ran.computeIfAbsent(request, key -> new java.util.concurrent.CopyOnWriteArrayList<>()).add(id);
+                the.log(id + " runs " + request);
+                Thread.sleep(78);
+            }
+            Wire.respond(out, status, headers, answer);
+            synchronized (late) {
+                if (isFaulty && random.nextDouble() < EXTRA) {
+                    late.put(out, "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + answer.length + "\r\n\r\n"
+                        + new String(answer));
+                }
             }
         }
     }
--- a/review/standins/Case4.java
+++ b/review/standins/Case4.java
@@ -4,41 +4,27 @@
 import java.io.EOFException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Entry VMs are stopped with SIGTERM and started again, one after the other, each time the one that holds a duty. The
- * store is out for a part of the time. Clients keep their connections and use them every few seconds. A request that an instance
- * has begun to run must be answered: a planned stop cuts off no request.
+ * Instances whose answers have no length and end with their connection, and that begin to answer a long upload before
+ * they have read it. One instance after the other crashes, which resets its connections. An answer that was reset on
+ * the way must not look complete to its client.
  */
 public final class Case4 {
-    private static final String[] ZONES = {"sapporo", "asahikawa", "hakodate"};
-    private static final int CLIENTS = 600;
-    private static final double MAX_PAUSE = 12;
-    private static final int STOPS = 5;
-    private static final int DEADLINE_MILLIS = 600;
-    private static final long OUTAGE_MILLIS = 4500;
+    private static final int PIECES = 40;
+    private static final int PIECE_BYTES = 500;
+    private static final int CRASHES = 21;
 
-    /** The platform kills a process so long after it was asked to stop. */
-    private static final double GRACE = 6;
-
-    private static final Map<String, Double> begun = new ConcurrentHashMap<>();
-    private static final AtomicInteger served = new AtomicInteger();
     private static final AtomicInteger broken = new AtomicInteger();
-    private static final AtomicInteger crossed = new AtomicInteger();
-    private static final AtomicInteger other = new AtomicInteger();
-    private static final List<String> addresses = new ArrayList<>();
-
-    /** The VM that stops, or -1, and since when. New connections go to the others after two missed health checks. */
-    private static volatile int stopping = -1;
-    private static volatile double stoppingSince;
+    private static final AtomicInteger whole = new AtomicInteger();
+    private static final AtomicInteger cut = new AtomicInteger();
+    private static final AtomicInteger reset = new AtomicInteger();
     private static volatile boolean isOver;
 
     public static void main(String[] args) throws Exception {
@@ -46,144 +32,109 @@
     }
 
     private static void run(Case the) throws Exception {
-        the.configure(List.of(Case.service("catalogue", true), Case.service("loans", false)), List.of(
-            Case.route("catalogue", "safe", "catalogue", 0.5), Case.route("loans", "unsafe", "loans", 0.6)));
-        for (int i = 0; i < 6; i++) new Instance(the, "catalogue-" + i, "catalogue", ZONES[i % 3], true);
-        for (int i = 0; i < 12; i++) new Loans(the, "loans-" + i, ZONES[i % 3], i);
-        Process[] vms = new Process[ZONES.length];
-        for (int i = 0; i < ZONES.length; i++) {
-            addresses.add(the.startVm(11 + i, ZONES[i]));
-            vms[i] = the.processes.get(i);
-        }
-        for (int i = 0; i < ZONES.length; i++) {
-            if (!the.awaitReady(11 + i)) the.end(Case.NOT_RUN, "NOT RUN: a VM is not ready");
+        the.configure(List.of(Case.service("loans", false)), List.of(Case.route("loans", "unsafe", "loans", 2)));
+        Loans[] loans = new Loans[7];
+        for (int i = 0; i < loans.length; i++) loans[i] = new Loans(the, "loans-" + i);
+        String address = the.startVm(11, "sapporo");
+        if (!the.awaitReady(11)) the.end(Case.NOT_RUN, "NOT RUN: the VM is not ready");
+        Thread.sleep(1000);
+        AtomicInteger next = new AtomicInteger();
+        Thread[] clients = new Thread[16];
+        for (int i = 0; i < clients.length; i++) {
+            clients[i] = Case.thread("client-" + i, () -> {
+                while (!isOver) send(the, address, next.getAndIncrement());
+            });
         }
-        Thread.sleep(2500);
-        for (int i = 0; i < CLIENTS; i++) {
-            int number = i;
-            Case.thread("client-" + i, () -> client(the, number));
-        }
-        Thread.sleep(8000);
-        for (int i = 0; i < STOPS; i++) {
-            int holder = dutyHolder(the);
-            if (holder < 0) the.end(Case.NOT_RUN, "NOT RUN: no VM holds the duty");
-            if (the.isTroubled) Case.thread("outage", () -> outage(the));
-            Thread.sleep(500);
-            stoppingSince = the.seconds();
-            stopping = holder;
-            the.signal(vms[holder], "TERM");
-            while (vms[holder].isAlive() && the.seconds() < stoppingSince + GRACE) Thread.sleep(5);
-            the.log("entry VM " + (11 + holder) + (vms[holder].isAlive() ? " is killed after " : " ended after ")
-                + String.format("%.3f s", the.seconds() - stoppingSince));
-            if (vms[holder].isAlive()) the.signal(vms[holder], "KILL");
-            the.startVm(11 + holder, ZONES[holder]);
-            vms[holder] = the.processes.get(the.processes.size() - 1);
-            if (!the.awaitReady(11 + holder)) the.end(Case.NOT_RUN, "NOT RUN: a VM is not ready");
-            stopping = -1;
-            Thread.sleep(7000);
+        for (int i = 0; i < CRASHES; i++) {
+            Loans crashing = loans[i % loans.length];
+            if (the.isTroubled) crashing.crash();
+            Thread.sleep(2000);
+            if (the.isTroubled) crashing.restart();
+            Thread.sleep(1000);
         }
         isOver = true;
-        String counts = served + " requests answered 200, " + other + " other answers, " + crossed
-            + " connections closed before the request reached an instance, " + broken
-            + " requests cut off while an instance was at work";
-        if (served.get() < 1000) the.end(Case.NOT_RUN, "NOT RUN: " + counts);
-        the.end(broken.get() > 0 ? Case.BROKEN : Case.HELD, (broken.get() > 0 ? "LOST broken: " : "held: ") + counts);
-    }
-
-    private static void outage(Case the) throws Exception {
-        the.store.isOut = true;
-        the.log("the store is out: it answers 503");
-        Thread.sleep(OUTAGE_MILLIS);
-        the.store.isOut = false;
-        the.log("the store is back");
-    }
-
-    /** The number of the VM that holds the duty of the divided service, from the key that it wrote to the store. */
-    private static int dutyHolder(Case the) {
-        for (String key : the.store.keys("cicadagauge/state/")) {
-            String value = the.store.get(key);
-            if (!key.contains("catalogue") || !value.startsWith("front-")) continue;
-            for (int i = 0; i < ZONES.length; i++) if (value.startsWith("front-" + ZONES[i] + "-")) return i;
-        }
-        return -1;
+        for (Thread client : clients) client.join();
+        String counts = next + " requests, " + whole + " answered in full, " + reset + " answers reset by a crash, "
+            + broken + " of them complete to the client, " + cut + " cut";
+        if (whole.get() < 100) the.end(Case.NOT_RUN, "NOT RUN: " + counts);
+        the.end(broken.get() > 0 ? Case.BROKEN : Case.HELD, (broken.get() > 0 ? "MIXED broken: " : "held: ") + counts);
     }
 
-    private static void client(Case the, int number) throws Exception {
-        Random random = new Random(number);
-        for (int n = 0; !isOver;) {
-            int vm = number % addresses.size();
-            if (vm == stopping) vm = (vm + 1 + random.nextInt(addresses.size() - 1)) % addresses.size();
-            String[] parts = addresses.get(vm).split(":");
-            try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
-                socket.setTcpNoDelay(true);
-                InputStream in = new BufferedInputStream(socket.getInputStream());
-                while (true) {
-                    Thread.sleep((long) (random.nextDouble() * MAX_PAUSE * 1000));
-                    if (isOver || !send(the, socket, in, vm, String.format("%08x%08x", number, n++))) break;
+    private static void send(Case the, String address, int n) throws Exception {
+        String request = String.format("%016x", 0x77000L + n);
+        byte[] piece = new byte[PIECE_BYTES];
+        new Random(n).nextBytes(piece);
+        String[] parts = address.split(":");
+        Wire.Body body = new Wire.Body();
+        int status = 0;
+        boolean isSealed = false;
+        try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(3000);
+            OutputStream out = socket.getOutputStream();
+            Wire.write(out, "POST /loans/book HTTP/1.1\r\nHost: loans\r\nRequest-Id: " + request
+                + "\r\nDeadline-Ms: 2000\r\nContent-Length: " + PIECES * PIECE_BYTES + "\r\n\r\n");
+            Case.thread("upload", () -> {
+                for (int i = 0; i < PIECES; i++) {
+                    out.write(piece);
+                    out.flush();
+                    Thread.sleep(1);
                 }
-            } catch (java.io.IOException e) {
-                Thread.sleep(100);
-            }
-        }
-    }
-
-    /** Sends one request; false if the connection can't be used again. */
-    private static boolean send(Case the, Socket socket, InputStream in, int vm, String request) throws Exception {
-        double sentAt = the.seconds();
-        OutputStream out = socket.getOutputStream();
-        try {
-            socket.setSoTimeout(DEADLINE_MILLIS);
-            Wire.write(out, "POST /loans/book HTTP/1.1\r\nHost: loans\r\nRequest-Id: " + request + "\r\nDeadline-Ms: "
-                + DEADLINE_MILLIS + "\r\nContent-Length: 4\r\n\r\nloan");
+            });
+            InputStream in = new BufferedInputStream(socket.getInputStream());
             Wire.Head head = Wire.readHead(in);
-            if (head == null) throw new EOFException("closed");
-            Wire.Body body = new Wire.Body();
-            Wire.readBody(in, head, true, body);
-            if (head.status() == 200) served.incrementAndGet(); else other.incrementAndGet();
-            the.log("client: " + request + " answered " + head.status());
-            return !"close".equals(head.get("connection"));
-        } catch (SocketTimeoutException e) {
-            other.incrementAndGet();
-            the.log("client: " + request + " reached its deadline");
-            return false;
-        } catch (java.io.IOException e) {
-            if (isOver) return false;
-            boolean isStopping = vm == stopping;
-            String since = isStopping ? String.format(", sent %.3f s after SIGTERM", sentAt - stoppingSince) : "";
-            Double begin = begun.get(request);
-            if (begin == null) {
-                crossed.incrementAndGet();
-                the.log("client: " + request + " on a closed connection, not passed on" + since);
-            } else {
-                if (isStopping) broken.incrementAndGet();
-                the.log("client: " + request + " CUT OFF after " + String.format("%.3f s", the.seconds() - sentAt) + since
-                    + ", while its instance was at work since " + String.format("%.4f", begin));
+            if (head != null) {
+                status = head.status();
+                isSealed = head.get("response-seal") != null;
+                Wire.readBody(in, head, true, body);
             }
-            return false;
+        } catch (java.io.IOException e) {
+            // The answer ends early, and the client notices.
         }
+        boolean isWhole = Arrays.equals(body.bytes.toByteArray(), Instance.answer(request));
+        boolean isMixed = status == 200 && body.isComplete && !isWhole;
+        if (isMixed) broken.incrementAndGet();
+        if (status == 200 && body.isComplete && isWhole) whole.incrementAndGet();
+        if (status == 200 && !body.isComplete) cut.incrementAndGet();
+        the.log("client: " + request + " answered " + status + (isSealed ? ", sealed, " : ", ") + body.bytes.size()
+            + " bytes, " + (body.isComplete ? "complete" : "cut") + (isMixed ? " NOT THE WHOLE BODY" : ""));
     }
 
-    /** Speeds differ, and neighbours slow an instance down by three a fifth of the time. */
     private static final class Loans extends Instance {
-        private final double speed;
-        private final Random random;
-
-        Loans(Case the, String id, String zone, int number) throws Exception {
-            super(the, id, "loans", zone, false);
-            speed = new double[] {0.6, 1.0, 1.4}[number % 3];
-            random = new Random(number);
+        Loans(Case the, String id) throws Exception {
+            super(the, id, "loans", "sapporo", false);
         }
 
         @Override
-        void work(Run run, Wire.Head head, Wire.Body body) throws Exception {
-            begun.put(run.request, run.start);
-            the.log(id + " runs " + run.request);
-            double millis;
-            synchronized (random) {
-                double noise = random.nextDouble() < 0.2 ? 3 : 1;
-                millis = 78 / speed * noise * (0.5 + random.nextDouble());
+        void request(Socket connection, InputStream in, OutputStream out, Wire.Head head) throws Exception {
+            String request = head.get("request-id");
+            byte[] answer = answer(request);
+            int sent = 0;
+            try {
+                in.read();
+                Wire.write(out, "HTTP/1.1 200 OK\r\nConnection: close\r\n" + seal(request) + "\r\n");
+                out.write(answer, 0, answer.length / 2);
+                out.flush();
+                sent = answer.length / 2;
+                the.log(id + " begins to answer " + request);
+                long left = head.length() - 1;
+                byte[] buffer = new byte[8192];
+                while (left > 0) {
+                    int count = in.read(buffer, 0, (int) Math.min(buffer.length, left));
+                    if (count < 0) throw new EOFException();
+                    left -= count;
+                }
+                out.write(answer, sent, answer.length - sent);
+                out.flush();
+                sent = answer.length;
+                the.log(id + " has answered " + request + " with " + sent + " bytes");
+                connection.close();
+            } finally {
+                if (sent > 0 && sent < answer.length && isDown()) {
+                    reset.incrementAndGet();
+                    the.log(id + " was reset after " + sent + " of " + answer.length + " bytes to " + request);
+                }
             }
-            Thread.sleep((long) Math.min(580, millis));
         }
     }
 }
