--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -28,6 +28,8 @@
     static final int HELD = 0;
     static final int BROKEN = 1;
     static final int NOT_RUN = 2;
+    private static final long GARBLE_MILLIS = 5000;
+    private static final long GARBLE_PAUSE_MILLIS = 1000;
 
     /** VMs have the addresses 127.0.0.11, 127.0.0.12 and so on. */
     private static final int FIRST_VM = 11;
@@ -49,6 +51,24 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.forEach(Process::destroyForcibly)));
     }
 
+    /** Whether instances spoil answers at present: for [GARBLE_MILLIS] at a time, from the start of [garble] on. */
+    volatile boolean isGarbling;
+
+    /** Lets instances spoil answers in episodes with short pauses, if this run has the disruption. */
+    void garble() {
+        if (!isTroubled) return;
+        thread("garble", () -> {
+            while (true) {
+                isGarbling = true;
+                log("instances begin to spoil answers");
+                Thread.sleep(GARBLE_MILLIS);
+                isGarbling = false;
+                log("instances no longer spoil answers");
+                Thread.sleep(GARBLE_PAUSE_MILLIS);
+            }
+        });
+    }
+
     static Thread thread(String name, Task task) {
         Thread thread = new Thread(() -> {
             try {
--- a/review/standins/Case1.java
+++ b/review/standins/Case1.java
@@ -42,6 +42,7 @@
         String address = the.startVm(11, "sapporo");
         if (!the.awaitReady(11)) the.end(Case.NOT_RUN, "NOT RUN: the VM is not ready");
         Thread.sleep(1000);
+        the.garble();
         AtomicInteger next = new AtomicInteger();
         Thread[] clients = new Thread[6];
         for (int i = 0; i < clients.length; i++) {
@@ -115,7 +116,7 @@
         void request(Socket connection, InputStream in, OutputStream out, Wire.Head head) throws Exception {
             boolean isRejected;
             synchronized (random) {
-                isRejected = isFaulty && random.nextDouble() < REJECTED;
+                isRejected = isFaulty && the.isGarbling && random.nextDouble() < REJECTED;
             }
             if (!isRejected) {
                 super.request(connection, in, out, head);
