--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -198,9 +198,10 @@
         return false;
     }
 
-    void signal(Process process, String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-        log("sent " + name + " to process " + process.pid());
+    /** Asks [process] to stop, with SIGTERM. */
+    void terminate(Process process) {
+        process.destroy();
+        log("sent SIGTERM to process " + process.pid());
     }
 
     /** Ends all processes, deletes the temporary files (unless KEEP is set) and exits. */
--- a/review/standins/Case5.java
+++ b/review/standins/Case5.java
@@ -20,7 +20,7 @@
  */
 public final class Case5 {
     private static final String[] ZONES = {"sapporo", "asahikawa", "hakodate"};
-    private static final int CLIENTS = 900;
+    private static final int CLIENTS = 1400;
     private static final double MAX_PAUSE = 12;
     private static final int STOPS = 5;
     private static final int DEADLINE_MILLIS = 600;
@@ -49,7 +49,7 @@
         the.configure(List.of(Case.service("catalogue", true), Case.service("loans", false)), List.of(
             Case.route("catalogue", "safe", "catalogue", 0.5), Case.route("loans", "unsafe", "loans", 0.6)));
         for (int i = 0; i < 6; i++) new Instance(the, "catalogue-" + i, "catalogue", ZONES[i % 3], true);
-        for (int i = 0; i < 18; i++) new Loans(the, "loans-" + i, ZONES[i % 3], i);
+        for (int i = 0; i < 28; i++) new Loans(the, "loans-" + i, ZONES[i % 3], i);
         Process[] vms = new Process[ZONES.length];
         for (int i = 0; i < ZONES.length; i++) {
             addresses.add(the.startVm(11 + i, ZONES[i]));
@@ -71,11 +71,11 @@
             Thread.sleep(500);
             stoppingSince = the.seconds();
             stopping = holder;
-            the.signal(vms[holder], "TERM");
+            the.terminate(vms[holder]);
             while (vms[holder].isAlive() && the.seconds() < stoppingSince + GRACE) Thread.sleep(5);
             the.log("entry VM " + (11 + holder) + (vms[holder].isAlive() ? " is killed after " : " ended after ")
                 + String.format("%.3f s", the.seconds() - stoppingSince));
-            if (vms[holder].isAlive()) the.signal(vms[holder], "KILL");
+            if (vms[holder].isAlive()) vms[holder].destroyForcibly().waitFor();
             the.startVm(11 + holder, ZONES[holder]);
             vms[holder] = the.processes.get(the.processes.size() - 1);
             if (!the.awaitReady(11 + holder)) the.end(Case.NOT_RUN, "NOT RUN: a VM is not ready");
