Stop: end accepting on time while duties can't be handed over

Cause: Gateway.stop waited up to half of its limit for the handover of duties, which needs the store, and only then for the load balancers (2.6 s). 5.35 of 5.5 s were gone before it stopped accepting.

Change: StopPlan decides the phases of a stop without I/O; the handover runs beside them. Half a second before the end the requests that wait are refused as not run; a home VM that refuses so is left alone by the VM that relayed to it.

Failed try: a first form counted the delay from the signal. The ports closed while the event loop had not yet reported the stop to anyone.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
@@ -72,6 +72,9 @@
 
     /** A planned shutdown begins: the node hands its duties over and takes no new requests. */
     public data object StopRequested : Event
+
+    /** A planned shutdown ends soon: the node refuses the requests that wait and sends nothing more to upstreams. */
+    public data object StopEnding : Event
 }
 
 /** What an attempt to connect to an upstream shows. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/DispatchRefusals.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/DispatchRefusals.kt
@@ -19,6 +19,7 @@
     val DEADLINE_BEFORE_RUN =
         Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free", RETRY_AFTER)
     val CUT_OFF = Refusal(Reason.CutOff, "this VM reaches no upstream, but others do", RETRY_AFTER)
+    val SHUTTING_DOWN = Refusal(Reason.ShuttingDown, "this VM stops; others take the request at once", Duration.ZERO)
     val CONNECTION_BROKEN = Refusal(Reason.UpstreamBroke, "the connection broke while the request may have run")
 
     /** The refusal of a request that must not run for the next [remaining]. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -60,6 +60,9 @@
     val homeDirectory: HomeDirectory = HomeDirectory(vms, owners, settings)
     private var isSweepScheduled = false
 
+    /** Whether the process ends soon, so that nothing more is sent to an upstream. */
+    private var isEnding = false
+
     /** The number of requests that are accepted and not yet answered. */
     val pending: Int get() = requests.size
 
@@ -157,6 +160,7 @@
             is AttemptOutcome.Refused -> {
                 vms.recordContact(state.home, now)
                 if (outcome.refusal.reason == Reason.CutOff) vms.markCutOff(state.home, now + settings.homeSuspicion)
+                if (outcome.refusal.reason == Reason.ShuttingDown) vms.markLeaving(state.home)
                 refusedByHome(request, outcome.refusal, now)
             }
             is AttemptOutcome.NotRun -> {
@@ -211,7 +215,7 @@
         if (request == null || state !is PendingRequest.State.Reserving || state.home != from) {
             return release(from, PeerMessage.Release(message.pool, message.id, PermitResult.Unused, Duration.ZERO), now)
         }
-        forward(request, from, message.upstream, now)
+        if (isEnding) refuse(request, DispatchRefusals.SHUTTING_DOWN, now) else forward(request, from, message.upstream, now)
     }
 
     override fun denied(from: VmId, message: PeerMessage.Denied, now: Moment) {
@@ -226,7 +230,9 @@
      * rejected the request, trying another one is a retry.
      */
     private fun refusedByHome(request: PendingRequest, refusal: Refusal, now: Moment) {
-        if (refusal.reason == Reason.CutOff) return backOff(request, DispatchRefusals.of(NotRunCause.Unreachable), now)
+        if (refusal.reason == Reason.CutOff || refusal.reason == Reason.ShuttingDown) {
+            return backOff(request, DispatchRefusals.of(NotRunCause.Unreachable), now)
+        }
         val wasRejected = refusal.reason == Reason.UpstreamBusy
         if (wasRejected) request.hasReachedUpstream = true
         val isFull = wasRejected || refusal.reason == Reason.Overloaded || refusal.reason == Reason.NoUpstream
@@ -254,7 +260,14 @@
         }
     }
 
+    /** Refuses the requests that wait, and from now on each one that would be sent, because the process ends soon. */
+    fun refuseWaiting(now: Moment) {
+        isEnding = true
+        for (request in waiting.toList()) if (request in waiting) refuse(request, DispatchRefusals.SHUTTING_DOWN, now)
+    }
+
     private fun reserve(request: PendingRequest, now: Moment) {
+        if (isEnding) return refuse(request, DispatchRefusals.SHUTTING_DOWN, now)
         if (request.isRelayedHere && vms.isBypassed()) return refuse(request, DispatchRefusals.CUT_OFF, now)
         val quarantined = quarantine.quarantineOf(request.fingerprint, now)
         if (quarantined != null) return refuse(request, DispatchRefusals.quarantined(quarantined), now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -143,6 +143,7 @@
             Event.Started -> started(now)
             is Event.Suspended -> suspended(event, now)
             Event.StopRequested -> stop()
+            Event.StopEnding -> dispatcher.refuseWaiting(now)
             Event.Woken -> Unit
         }
     }
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
@@ -25,14 +25,18 @@
 import cicadagauge.node.Timers
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
+import cicadagauge.outcome.Reason
 import cicadagauge.outcome.Refusal
 import cicadagauge.outcome.Verdict
 import cicadagauge.quarantine.CrashDetector
 import cicadagauge.quarantine.RequestQuarantine
 import cicadagauge.routing.OwnerDirectory
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** One VM that schedules its own requests ([HomePolicy.Local]), with one upstream. */
 private class SingleVmFixture {
@@ -62,28 +66,66 @@
     )
     private var now = Moment.ZERO
     private var refusal: Refusal? = null
+    private var lastId = 0L
+
+    /** The requests that were sent to the upstream, and the refusals of the others. */
+    val forwarded = ArrayList<RequestId>()
+    val refusals = HashMap<RequestId, Refusal>()
 
     init {
         vms.update(listOf(Vm(vms.self, Address("vm", 1), Address("vm", 1), zone)), now)
         dispatcher.configure(Declaration(setOf(zone), listOf(pool), emptyList(), emptyList()), now)
     }
 
+    private fun request(isIdempotent: Boolean, deadline: Duration) = PendingRequest(
+        id = RequestId(++lastId),
+        pool = pool,
+        requestClass = RequestClass.Normal,
+        idempotent = isIdempotent,
+        customer = CustomerName("c"),
+        slot = null,
+        deadline = now + deadline,
+        head = HeadDigest(1),
+        zoneSelector = dispatcher.homeDirectory.zoneSelectorFor(pool),
+    )
+
+    /** Sends [count] requests that the upstream doesn't answer; returns their ids. */
+    fun send(count: Int): List<RequestId> = List(count) {
+        request(isIdempotent = true, deadline = 10.seconds).also {
+            dispatcher.accept(it, now)
+            record()
+        }.id
+    }
+
+    /** Lets the planned stop come to its end. */
+    fun endStop() {
+        dispatcher.refuseWaiting(now)
+        record()
+    }
+
+    /** Ends the attempt of request [id] with [outcome] and lets a second pass. */
+    fun endAttempt(id: RequestId, outcome: AttemptOutcome) {
+        dispatcher.attemptEnded(id, outcome, now)
+        repeat(100) {
+            record()
+            now += 10.milliseconds
+            timers.run(now)
+        }
+    }
+
+    private fun record() {
+        for (effect in effects.take()) {
+            if (effect is Effect.Forward) forwarded += effect.id
+            if (effect is Effect.Refuse) refusals[effect.id] = effect.refusal
+        }
+    }
+
     /**
      * Sends a request whose first attempt ends with [outcome] and whose later attempts find the upstream unreachable;
      * returns the final refusal.
      */
     fun refusalOf(isIdempotent: Boolean, outcome: AttemptOutcome): Refusal? {
-        val request = PendingRequest(
-            id = RequestId(1),
-            pool = pool,
-            requestClass = RequestClass.Normal,
-            idempotent = isIdempotent,
-            customer = CustomerName("c"),
-            slot = null,
-            deadline = now + 300.milliseconds,
-            head = HeadDigest(1),
-            zoneSelector = dispatcher.homeDirectory.zoneSelectorFor(pool),
-        )
+        val request = request(isIdempotent, deadline = 300.milliseconds)
         dispatcher.accept(request, now)
         var attempts = 0
         repeat(100) {
@@ -116,4 +158,25 @@
             val refusal = SingleVmFixture().refusalOf(isIdempotent = false, AttemptOutcome.Lost(timedOut = false))
             refusal?.reason?.verdict shouldBe Verdict.MayHaveRun
         }
+
+        // Guards against requests that are sent to an upstream so late in a planned stop that the end cuts them off.
+        val lastOutcomes = mapOf(
+            AttemptOutcome.NotRun(NotRunCause.Busy) to Verdict.NotRun,
+            AttemptOutcome.Lost(timedOut = false) to Verdict.MayHaveRun,
+        )
+        for ((outcome, verdict) in lastOutcomes) {
+            test("at the end of a planned stop all requests that wait are refused, and none is sent after $outcome") {
+                val vm = SingleVmFixture()
+                val sent = vm.send(40)
+                val running = vm.forwarded.toList()
+                vm.endStop()
+                running.shouldNotBeEmpty()
+                vm.refusals.keys shouldBe sent.toSet() - running.toSet()
+                vm.refusals.values.map { it.reason }.toSet() shouldBe setOf(Reason.ShuttingDown)
+                vm.endAttempt(running.first(), outcome)
+                vm.refusals[running.first()]?.reason?.verdict shouldBe verdict
+                vm.send(1).forEach { vm.refusals[it]?.reason shouldBe Reason.ShuttingDown }
+                vm.forwarded shouldBe running
+            }
+        }
     })
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -26,7 +26,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.nio.NioIoHandler
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
@@ -53,10 +52,11 @@
     private val control = JsonHttpServer(group, settings.control, handler)
     private val readiness = settings.readiness?.let { JsonHttpServer(group, it, handler::handlePublic) }
     private val callers = DefaultChannelGroup(loop)
-    private val dutiesHandedOver = CompletableFuture<Unit>()
 
     @Volatile private var listeners = emptyList<Channel>()
 
+    @Volatile private var areDutiesHandedOver = false
+
     /**
      * Binds the ports and starts the node; throws if a port can't be bound. A separate callers' port is opened later,
      * see [GatewaySettings.maxOpenDelay].
@@ -108,28 +108,49 @@
     public fun statusNow(): NodeStatus = loop.submit<NodeStatus> { status() }.get()
 
     /**
-     * Stops without dropping requests: reports not ready, hands over the VM's duties (for half of [limit] at most),
-     * waits for [StopTimes.drainDelay], closes the listening ports and waits for open requests until [limit] has
-     * passed since the call. Returns whether all of them were answered. A second call does nothing and returns true.
+     * Stops without dropping requests, as [StopPlan] says: reports not ready and hands over the VM's duties, goes on
+     * accepting requests for [StopTimes.drainDelay], then closes the listening ports and idle connections and waits for
+     * open requests and for the handover until [limit] has passed since the call. Returns whether all requests were
+     * answered. A second call does nothing and returns true.
      */
     public fun stop(limit: Duration): Boolean {
         if (group.isShuttingDown) return true
-        val end = System.nanoTime() + limit.inWholeNanoseconds
-        loop.execute {
-            log.write("stopping", "open" to registry.open)
-            registry.draining = true
-            driver.submit(Event.StopRequested)
+        val start = MonotonicClock.now()
+        val plan = StopPlan(start, announceStop(), limit, settings.stop)
+        var phase = StopPhase.Accepting
+        while (phase != StopPhase.Ended) {
+            Thread.sleep(POLL_MILLIS)
+            val isIdle = phase != StopPhase.Accepting && areDutiesHandedOver && !isServingCallers()
+            val next = plan.phaseAt(MonotonicClock.now(), isIdle)
+            if (phase == StopPhase.Accepting && next != phase) stopAccepting()
+            if (phase != StopPhase.Refusing && next == StopPhase.Refusing) refuseWaiting()
+            phase = next
         }
-        dutiesHandedOver.completeOnTimeout(Unit, limit.inWholeMilliseconds / 2, TimeUnit.MILLISECONDS).get()
-        Thread.sleep(settings.stop.drainDelay.inWholeMilliseconds)
-        listeners.forEach { it.close().sync() }
-        loop.execute { callers.forEach { it.pipeline().get(CallerHandler::class.java)?.closeAfterCurrentRequest() } }
-        while (isServingCallers() && System.nanoTime() < end) Thread.sleep(POLL_MILLIS)
         val allAnswered = !isServingCallers()
         close()
         return allAnswered
     }
 
+    /** Reports not ready and begins the handover; returns when that was, which is later where the loop is busy. */
+    private fun announceStop(): Moment = loop.submit<Moment> {
+        log.write("stopping", "open" to registry.open)
+        registry.draining = true
+        driver.submit(Event.StopRequested)
+        MonotonicClock.now()
+    }.get()
+
+    private fun stopAccepting() {
+        listeners.forEach { it.close().sync() }
+        loop.execute { callers.forEach { it.pipeline().get(CallerHandler::class.java)?.closeAfterCurrentRequest() } }
+    }
+
+    private fun refuseWaiting() {
+        loop.execute {
+            log.write("stop-refuses-waiting", "open" to registry.open)
+            driver.submit(Event.StopEnding)
+        }
+    }
+
     /** Closes all ports and connections at once, without draining, as a crash would. */
     public fun kill(): Unit = close()
 
@@ -170,7 +191,10 @@
                 metrics.countStateChange(effect.change)
                 log.write(effect.change)
             }
-            Effect.DutiesHandedOver -> dutiesHandedOver.complete(Unit)
+            Effect.DutiesHandedOver -> {
+                areDutiesHandedOver = true
+                log.write("duties-handed-over")
+            }
             is Effect.WakeAt -> error("NodeDriver must handle WakeAt itself")
         }
     }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
@@ -40,10 +40,12 @@
 /**
  * Times of a planned stop.
  *
- * @property drainDelay how long the VM goes on accepting requests after it has reported not ready and handed over its
- * duties, so that load balancers direct callers elsewhere
+ * @property drainDelay how long the VM goes on accepting requests after it has reported not ready, so that load
+ * balancers direct callers elsewhere
+ * @property answerReserve how long before the end of the stop no request is sent to an upstream any more; those that
+ * wait are refused
  */
-public data class StopTimes(val drainDelay: Duration = 1.seconds) {
+public data class StopTimes(val drainDelay: Duration = 1.seconds, val answerReserve: Duration = 500.milliseconds) {
     public companion object {
         /**
          * For load balancers that check readiness every second and remove a VM after the second failed check: they
--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/deployment/InProcessDeployment.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/deployment/InProcessDeployment.kt
@@ -13,6 +13,7 @@
 import cicadagauge.identity.VmId
 import cicadagauge.membership.Vm
 import cicadagauge.node.NodeSettings
+import cicadagauge.standins.store.StoreFaults
 import cicadagauge.standins.store.StoreStandin
 import cicadagauge.standins.upstream.UpstreamSettings
 import cicadagauge.standins.upstream.UpstreamStandin
@@ -98,6 +99,9 @@
     /** Number of requests that upstreams refused because their concurrency limit was reached. */
     public fun overloads(): Long = upstreams.values.sumOf { it.read { model -> model.overloads } }
 
+    /** Replaces the faults of the store by [faults]. */
+    public fun injectStoreFaults(faults: StoreFaults): Unit = store.injectFaults(faults)
+
     /** Stops everything and returns whether each gateway answered all its open requests, within 5 s. */
     public fun stop(): Boolean {
         val allAnswered = gateways.map { it.stop(5.seconds) }.all { it }
