Uploads: retain the body between attempts, and send no part of one

Cause: Exchange.add released the retained body once it grew beyond 64 KiB after a first attempt, also between two attempts, when the dispatcher had already decided to send the request again. Exchange.start sent what was left.

Change: parts are released only while an attempt takes them; between attempts reading pauses at the limit. Exchange.start refuses to start from a part. AttemptEnded carries whether the body is retained, for rejections, broken connections and refusals of a home alike; the last two never looked at it.

Why it works: the first release that can make the body incomplete now happens while an attempt is in progress, and the end of that attempt reports it.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
@@ -34,8 +34,15 @@
      * An attempt that was started by [Effect.Forward] or [Effect.Relay] has ended.
      *
      * @property body digest of the request's body, or null if too little of the body has been read.
+     * @property isBodyRetained whether all that has been read of the request's body is retained. Otherwise the request
+     * can't be sent again.
      */
-    public data class AttemptEnded(val id: RequestId, val outcome: AttemptOutcome, val body: BodyDigest? = null) : Event
+    public data class AttemptEnded(
+        val id: RequestId,
+        val outcome: AttemptOutcome,
+        val body: BodyDigest? = null,
+        val isBodyRetained: Boolean = true,
+    ) : Event
 
     /** Enough of the body that was asked for by [Effect.AwaitBody] has been read. */
     public data class BodyRead(val id: RequestId, val body: BodyDigest) : Event
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/AttemptOutcome.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/AttemptOutcome.kt
@@ -10,12 +10,8 @@
      */
     public data class Answered(val status: Int, val slowness: Double? = null) : AttemptOutcome
 
-    /**
-     * The upstream's answer, or the failure to connect, proves that the request did not run.
-     *
-     * @property replayable whether the complete request is still buffered, so that it can be sent again.
-     */
-    public data class NotRun(val cause: NotRunCause, val replayable: Boolean = true) : AttemptOutcome
+    /** The upstream's answer, or the failure to connect, proves that the request did not run. */
+    public data class NotRun(val cause: NotRunCause) : AttemptOutcome
 
     /** The home VM that the request was relayed to refused it, and makes no further attempt. */
     public data class Refused(val refusal: Refusal) : AttemptOutcome
@@ -43,4 +39,7 @@
 
     /** The upstream accepts no new requests. */
     Draining,
+
+    /** A part of the request's body is no longer retained, so nothing was sent. */
+    BodyReleased,
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/DispatchRefusals.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/DispatchRefusals.kt
@@ -40,6 +40,7 @@
     /** The refusal of a request whose last attempt did not run because of [cause]. */
     fun of(cause: NotRunCause): Refusal = when (cause) {
         NotRunCause.Busy -> UPSTREAM_BUSY
-        NotRunCause.Unreachable, NotRunCause.NotOwner, NotRunCause.Draining -> OWNER_UNAVAILABLE
+        NotRunCause.Unreachable, NotRunCause.NotOwner, NotRunCause.Draining, NotRunCause.BodyReleased ->
+            OWNER_UNAVAILABLE
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -19,6 +19,7 @@
 import cicadagauge.node.DispatchSettings
 import cicadagauge.node.Effect
 import cicadagauge.node.Effects
+import cicadagauge.node.Event
 import cicadagauge.node.HomePolicy
 import cicadagauge.node.RelayedRequest
 import cicadagauge.node.RequestHead
@@ -130,16 +131,14 @@
         accept(request, now)
     }
 
-    /**
-     * Handles the end of an attempt of request [id], whose body has the digest [body] if that is known. Ignored if the
-     * request is no longer pending.
-     */
-    fun attemptEnded(id: RequestId, outcome: AttemptOutcome, now: Moment, body: BodyDigest? = null) {
-        val request = requests[id] ?: return
-        if (body != null) request.body = body
+    /** Handles the end of an attempt. Ignored if the request is no longer pending. */
+    fun attemptEnded(event: Event.AttemptEnded, now: Moment) {
+        val request = requests[event.id] ?: return
+        if (event.body != null) request.body = event.body
+        request.isBodyRetained = event.isBodyRetained
         when (val state = request.state) {
-            is PendingRequest.State.Running -> upstreamAttemptEnded(request, state, outcome, now)
-            is PendingRequest.State.Relayed -> relayedAttemptEnded(request, state, outcome, now)
+            is PendingRequest.State.Running -> upstreamAttemptEnded(request, state, event.outcome, now)
+            is PendingRequest.State.Relayed -> relayedAttemptEnded(request, state, event.outcome, now)
             else -> Unit
         }
     }
@@ -231,12 +230,14 @@
      */
     private fun refusedByHome(request: PendingRequest, refusal: Refusal, now: Moment) {
         if (refusal.reason == Reason.CutOff || refusal.reason == Reason.ShuttingDown) {
-            return backOff(request, DispatchRefusals.of(NotRunCause.Unreachable), now)
+            val refusalIfLast = DispatchRefusals.of(NotRunCause.Unreachable)
+            return if (request.isBodyRetained) backOff(request, refusalIfLast, now) else refuse(request, refusalIfLast, now)
         }
         val wasRejected = refusal.reason == Reason.UpstreamBusy
         if (wasRejected) request.hasReachedUpstream = true
         val isFull = wasRejected || refusal.reason == Reason.Overloaded || refusal.reason == Reason.NoUpstream
         val mayTryNext = isFull &&
+            request.isBodyRetained &&
             request.zoneSelector.maySpill &&
             (!wasRejected || retryBudgetOf(request).tryTake())
         val triesNext = mayTryNext && request.zoneSelector.tryNext(refusal.retryAfter ?: Duration.INFINITE)
@@ -370,7 +371,7 @@
         val refusal = DispatchRefusals.of(outcome.cause)
         val reachedUpstream = outcome.cause != NotRunCause.Unreachable
         if (reachedUpstream) request.hasReachedUpstream = true
-        val mayRepeat = outcome.replayable && (!reachedUpstream || retryBudgetOf(request).tryTake())
+        val mayRepeat = request.isBodyRetained && (!reachedUpstream || retryBudgetOf(request).tryTake())
         if (mayRepeat) backOff(request, refusal, now) else refuse(request, refusal, now)
     }
 
@@ -381,7 +382,7 @@
         if (timedOut) return refuse(request, DispatchRefusals.DEADLINE_DURING_RUN, now)
         request.runs++
         request.hasReachedUpstream = true
-        val mayRunAgain = request.idempotent && request.runs < request.maxRuns
+        val mayRunAgain = request.idempotent && request.isBodyRetained && request.runs < request.maxRuns
         if (mayRunAgain && retryBudgetOf(request).tryTake()) {
             return backOff(request, DispatchRefusals.CONNECTION_BROKEN, now)
         }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
@@ -54,6 +54,9 @@
     /** What was known of the request's [fingerprint] when it was last sent to an upstream. */
     var crashRecord = CrashRecord.NONE
 
+    /** Whether the body that has been read is retained, so that the request can be sent again. */
+    var isBodyRetained = true
+
     /** The digest of the body, or null if too little of the body is known. */
     var body: BodyDigest? = null
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PermitResults.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PermitResults.kt
@@ -15,6 +15,7 @@
             NotRunCause.Unreachable -> PermitResult.Unreachable
             NotRunCause.Busy -> PermitResult.Busy
             NotRunCause.NotOwner, NotRunCause.Draining -> PermitResult.Refused
+            NotRunCause.BodyReleased -> PermitResult.Unused
         }
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -131,7 +131,7 @@
         when (event) {
             is Event.RequestArrived -> admission.arrived(event.id, event.head, now)
             is Event.RelayArrived -> dispatcher.acceptRelayed(event.id, event.request, event.head, event.timeLeft, now)
-            is Event.AttemptEnded -> dispatcher.attemptEnded(event.id, event.outcome, now, event.body)
+            is Event.AttemptEnded -> dispatcher.attemptEnded(event, now)
             is Event.BodyRead -> dispatcher.bodyRead(event.id, event.body, now)
             is Event.UpstreamChecked -> upstreamChecked(event.upstream, event.state, now)
             is Event.CallerDisconnected -> dispatcher.callerLeft(event.id, now)
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/DispatcherTest.kt
@@ -19,6 +19,7 @@
 import cicadagauge.node.DispatchSettings
 import cicadagauge.node.Effect
 import cicadagauge.node.Effects
+import cicadagauge.node.Event
 import cicadagauge.node.HomePolicy
 import cicadagauge.node.QuarantineSettings
 import cicadagauge.node.ReachabilitySettings
@@ -104,8 +105,8 @@
     }
 
     /** Ends the attempt of request [id] with [outcome] and lets a second pass. */
-    fun endAttempt(id: RequestId, outcome: AttemptOutcome) {
-        dispatcher.attemptEnded(id, outcome, now)
+    fun endAttempt(id: RequestId, outcome: AttemptOutcome, isBodyRetained: Boolean = true) {
+        dispatcher.attemptEnded(Event.AttemptEnded(id, outcome, isBodyRetained = isBodyRetained), now)
         repeat(100) {
             record()
             now += 10.milliseconds
@@ -132,7 +133,7 @@
             for (effect in effects.take()) {
                 if (effect is Effect.Refuse) refusal = effect.refusal
                 val nextOutcome = if (attempts++ == 0) outcome else AttemptOutcome.NotRun(NotRunCause.Unreachable)
-                if (effect is Effect.Forward) dispatcher.attemptEnded(request.id, nextOutcome, now)
+                if (effect is Effect.Forward) dispatcher.attemptEnded(Event.AttemptEnded(request.id, nextOutcome), now)
             }
             now += 10.milliseconds
             timers.run(now)
@@ -159,11 +160,23 @@
             refusal?.reason?.verdict shouldBe Verdict.MayHaveRun
         }
 
-        // Guards against requests that are sent to an upstream so late in a planned stop that the end cuts them off.
         val lastOutcomes = mapOf(
             AttemptOutcome.NotRun(NotRunCause.Busy) to Verdict.NotRun,
             AttemptOutcome.Lost(timedOut = false) to Verdict.MayHaveRun,
         )
+
+        // Guards against requests that are sent again without the first part of their body (review case 1).
+        for ((outcome, verdict) in lastOutcomes) {
+            test("a request whose body is not retained is not sent again after $outcome") {
+                val vm = SingleVmFixture()
+                val id = vm.send(1).single()
+                vm.endAttempt(id, outcome, isBodyRetained = false)
+                vm.forwarded shouldBe listOf(id)
+                vm.refusals[id]?.reason?.verdict shouldBe verdict
+            }
+        }
+
+        // Guards against requests that are sent to an upstream so late in a planned stop that the end cuts them off.
         for ((outcome, verdict) in lastOutcomes) {
             test("at the end of a planned stop all requests that wait are refused, and none is sent after $outcome") {
                 val vm = SingleVmFixture()
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/PendingCrashCheckTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/PendingCrashCheckTest.kt
@@ -20,6 +20,7 @@
 import cicadagauge.node.DispatchSettings
 import cicadagauge.node.Effect
 import cicadagauge.node.Effects
+import cicadagauge.node.Event
 import cicadagauge.node.HomePolicy
 import cicadagauge.node.QuarantineSettings
 import cicadagauge.node.ReachabilitySettings
@@ -109,7 +110,7 @@
     /** Ends the attempt of request [id] at [upstream], which crashes. */
     fun crash(id: RequestId, upstream: UpstreamId, body: BodyDigest) {
         crashed += upstream
-        dispatcher.attemptEnded(id, AttemptOutcome.Lost(timedOut = false), now, body)
+        dispatcher.attemptEnded(Event.AttemptEnded(id, AttemptOutcome.Lost(timedOut = false), body), now)
     }
 
     /** Completes the checks among [decided], and those that follow from them; returns what was decided besides. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -209,7 +209,8 @@
             }
             else -> Unit
         }
-        driver.submit(Event.AttemptEnded(exchange.id, outcome, exchange.bodyDigest))
+        val isBodyRetained = exchange.isBodyRetained
+        driver.submit(Event.AttemptEnded(exchange.id, outcome, exchange.bodyDigest, isBodyRetained))
     }
 
     /** What identifies the content of the request in the log, or null if too little of its body has been read. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
@@ -28,7 +28,6 @@
     private val bodyHasher = BodyHasher(maxBytes = minOf(BodyHasher.MAX_HASHED_BYTES, limits.replayBufferBytes))
     private var digestListener: ((BodyDigest) -> Unit)? = null
     private var replayBytes = 0
-    private var hasBeenAttempted = false
 
     /** When the request's head was read. */
     val arrivedAt: Moment = MonotonicClock.now()
@@ -58,8 +57,8 @@
     var isBodyComplete = false
         private set
 
-    /** Whether everything that has been read of the request is retained, so that it can be sent again. */
-    var isReplayable = true
+    /** Whether everything that has been read of the body is retained, so that the request can be sent again. */
+    var isBodyRetained = true
         private set
 
     /** The number of body bytes that have been read. */
@@ -88,8 +87,9 @@
         bodyBytes += size
         bodyHasher.add(content.content())
         if (content is LastHttpContent) isBodyComplete = true
-        if (isReplayable && hasBeenAttempted && replayBytes + size > limits.replayBufferBytes) discardReplayContent()
-        if (isReplayable) {
+        // Only an attempt in progress takes what is not retained: between attempts, the next one needs all of it.
+        if (attempt != null && replayBytes + size > limits.replayBufferBytes) discardReplayContent()
+        if (isBodyRetained) {
             replayContent.addLast(content)
             replayBytes += size
             attempt?.write(content.retainedDuplicate())
@@ -99,12 +99,16 @@
         notifyDigestListener()
     }
 
-    /** Starts attempt [next] with everything that has been read so far. */
-    fun start(next: Attempt) {
+    /**
+     * Starts attempt [next] with everything that has been read so far. Returns false, and starts nothing, if a part of
+     * the body is no longer retained.
+     */
+    fun start(next: Attempt): Boolean {
+        if (!isBodyRetained) return false
         attempt = next
-        hasBeenAttempted = true
         replayContent.forEach { next.write(it.retainedDuplicate()) }
         if (replayBytes > limits.replayBufferBytes) discardReplayContent()
+        return true
     }
 
     /** Whether reading should pause, because no attempt takes the body yet and the replay buffer is full. */
@@ -112,7 +116,7 @@
 
     /** Releases the retained body; the request can no longer be sent again. */
     fun discardReplayContent() {
-        isReplayable = false
+        isBodyRetained = false
         replayContent.forEach { it.release() }
         replayContent.clear()
         replayBytes = 0
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
@@ -46,6 +46,7 @@
         connection.write(UpstreamRequest.of(exchange.request, hop))
         while (pendingContent.isNotEmpty()) writeContent(connection, pendingContent.removeFirst())
         connection.flush()
+        exchange.caller.pauseBody(!connection.isWritable)
         return true
     }
 
@@ -74,7 +75,7 @@
         pendingContent.forEach { it.release() }
         pendingContent.clear()
         channel?.handler()?.release(canBeReused = isRequestSent && isResponse(outcome))
-        onEnded(if (outcome is AttemptOutcome.NotRun) outcome.copy(replayable = exchange.isReplayable) else outcome)
+        onEnded(outcome)
     }
 
     private fun writeContent(connection: Channel, content: HttpContent) {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
@@ -42,7 +42,7 @@
     fun send(hop: Hop, exchange: Exchange, onEnded: (AttemptOutcome) -> Unit) {
         val pool = pools.getOrPut(hop.address) { ConnectionPool(hop.address) }
         val attempt = UpstreamAttempt(hop, exchange, loop, onEnded)
-        exchange.start(attempt)
+        if (!exchange.start(attempt)) return attempt.end(AttemptOutcome.NotRun(NotRunCause.BodyReleased))
         val reused = pool.takeIdle()
         when {
             reused != null -> pool.send(attempt, reused)
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/RecordingNode.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/RecordingNode.kt
@@ -20,10 +20,14 @@
 
     override fun status(now: Moment): NodeStatus = error("not called in these tests")
 
-    /** A registry on [loop] that hands requests to this node. */
-    fun registry(loop: EventLoop, loopMonitor: EventLoopMonitor) = RequestRegistry(
+    /** A registry on [loop] that hands requests to this node and sends them over [connections]. */
+    fun registry(
+        loop: EventLoop,
+        loopMonitor: EventLoopMonitor,
+        connections: UpstreamConnections = UpstreamConnections(loop, UpstreamLimits(), DefaultDialect) { _, _ -> },
+    ) = RequestRegistry(
         driver = NodeDriver(this, loop).apply { effectHandler = EffectHandler { } },
-        connections = UpstreamConnections(loop, UpstreamLimits(), DefaultDialect) { _, _ -> },
+        connections = connections,
         metrics = GatewayMetrics { 0 },
         secret = "secret",
         dialect = DefaultDialect,
--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/upstream/UpstreamStandin.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/upstream/UpstreamStandin.kt
@@ -162,7 +162,7 @@
         NotRunCause.NotOwner -> "not-owner"
         NotRunCause.Draining -> "draining"
         // The model never returns Unreachable.
-        NotRunCause.Busy, NotRunCause.Unreachable -> "busy"
+        NotRunCause.Busy, NotRunCause.Unreachable, NotRunCause.BodyReleased -> "busy"
     }
 
     private fun jsonResponse(status: Int, body: Any?): FullHttpResponse {
