Requests: never send one again over a connection that rejected it

Cause: the next attempt of a rejected request took the same connection, the one used last. A late copy of the rejection bears the id of the request, which all attempts share, so it was taken for the answer to the second attempt.

Change: a connection remembers the requests that were rejected on it and is left out for them; it is closed after 64. If that leaves none and the limit of connections is reached, the one idle for longest makes room.

Why it works: on a connection that has not carried the request, no copy of an answer to it can come; copies of answers to others bear another id.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
@@ -42,7 +42,7 @@
         if (!hasEnded && MonotonicClock.now() >= hop.deadline) end(AttemptOutcome.NotRun(NotRunCause.Unreachable))
         if (hasEnded) return false
         channel = connection
-        connection.handler().begin(this)
+        connection.upstreamHandler().begin(this)
         connection.write(UpstreamRequest.of(exchange.request, hop))
         while (pendingContent.isNotEmpty()) writeContent(connection, pendingContent.removeFirst())
         connection.flush()
@@ -74,7 +74,7 @@
         timeout.cancel(false)
         pendingContent.forEach { it.release() }
         pendingContent.clear()
-        channel?.handler()?.release(canBeReused = isRequestSent && isResponse(outcome))
+        channel?.upstreamHandler()?.release(canBeReused = isRequestSent && isResponse(outcome))
         onEnded(outcome)
     }
 
@@ -86,8 +86,6 @@
     private fun isResponse(outcome: AttemptOutcome) =
         outcome is AttemptOutcome.Answered || outcome is AttemptOutcome.NotRun || outcome is AttemptOutcome.Refused
 
-    private fun Channel.handler(): UpstreamHandler = pipeline().get(UpstreamHandler::class.java)
-
     private fun onTimeout() {
         if (exchange.hasResponseStarted) return
         end(
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
@@ -1,7 +1,7 @@
 /*
  * Connections to upstreams. A connection carries one request at a time and is reused only if the request was sent, the
  * response received completely and nothing after it, so that a late or second response can never be taken for that of
- * another request.
+ * another request. A connection never carries the same request twice: a response names its request, but not the attempt.
  */
 package cicadagauge.gateway.upstream
 
@@ -43,10 +43,10 @@
         val pool = pools.getOrPut(hop.address) { ConnectionPool(hop.address) }
         val attempt = UpstreamAttempt(hop, exchange, loop, onEnded)
         if (!exchange.start(attempt)) return attempt.end(AttemptOutcome.NotRun(NotRunCause.BodyReleased))
-        val reused = pool.takeIdle()
+        val reused = pool.takeIdle(exchange)
         when {
             reused != null -> pool.send(attempt, reused)
-            pool.open >= hop.maxConnections -> attempt.end(AttemptOutcome.NotRun(NotRunCause.Busy))
+            pool.open >= hop.maxConnections && !pool.closeOneIdle() -> attempt.end(AttemptOutcome.NotRun(NotRunCause.Busy))
             else -> pool.connect(attempt)
         }
     }
@@ -75,9 +75,17 @@
         var open = 0
             private set
 
-        fun takeIdle(): Channel? {
-            while (idle.isNotEmpty()) idle.removeLast().let { if (it.isActive) return it }
-            return null
+        /** Takes the connection that was used last and may carry the request of [exchange], or returns null. */
+        fun takeIdle(exchange: Exchange): Channel? {
+            val index = idle.indexOfLast { it.isActive && it.upstreamHandler().mayCarry(exchange) }
+            return if (index < 0) null else idle.removeAt(index)
+        }
+
+        /** Closes the connection that has been idle for longest; returns false if none is idle. */
+        fun closeOneIdle(): Boolean {
+            val oldest = idle.removeFirstOrNull() ?: return false
+            oldest.close()
+            return true
         }
 
         fun send(attempt: UpstreamAttempt, channel: Channel) {
@@ -120,3 +128,6 @@
         }
     }
 }
+
+/** The handler of this connection to an upstream. */
+internal fun Channel.upstreamHandler(): UpstreamHandler = pipeline().get(UpstreamHandler::class.java)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -2,6 +2,7 @@
 
 import cicadagauge.gateway.ProtocolHeaders
 import cicadagauge.gateway.UpstreamLimits
+import cicadagauge.gateway.caller.Exchange
 import cicadagauge.gateway.environment.Dialect
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.Reason
@@ -57,6 +58,9 @@
     private var wasReset = false
     private var slowness: Double? = null
 
+    /** The requests that were rejected on this connection: a late copy of a rejection may still follow. */
+    private val rejectedRequests = HashSet<String>()
+
     /** The attempt that waits for a response, or null. */
     var attempt: UpstreamAttempt? = null
         private set
@@ -64,6 +68,12 @@
     /** Whether data that arrives now belongs to a response. */
     val expectsData: Boolean get() = (attempt != null || drain != null) && !isComplete
 
+    /** Whether the connection may carry the request of [exchange], because it hasn't carried it before. */
+    fun mayCarry(exchange: Exchange): Boolean = rejectedRequests.isEmpty() || identityOf(exchange) !in rejectedRequests
+
+    private fun identityOf(exchange: Exchange): String =
+        dialect.requestId(exchange.request.headers()) ?: "exchange ${exchange.id}"
+
     /** Reads the next response for [next]. */
     fun begin(next: UpstreamAttempt) {
         attempt = next
@@ -180,8 +190,14 @@
         isComplete = true
     }
 
-    private fun endResponse(running: UpstreamAttempt): Unit =
-        running.end(rejection ?: AttemptOutcome.Answered(status, slowness))
+    private fun endResponse(running: UpstreamAttempt) {
+        val rejected = rejection
+        if (rejected != null) {
+            rejectedRequests += identityOf(running.exchange)
+            if (rejectedRequests.size > MAX_REJECTED_REQUESTS) keepAlive = false
+        }
+        running.end(rejected ?: AttemptOutcome.Answered(status, slowness))
+    }
 
     /** Ends the attempt, whose connection failed; a rejection holds all the same. */
     private fun failAttempt(running: UpstreamAttempt) {
@@ -249,4 +265,9 @@
             if (attempt != null) if (isStalled) close() else scheduleProgressCheck(context)
         }, limitNanos, TimeUnit.NANOSECONDS)
     }
+
+    private companion object {
+        /** The number of requests that may be rejected on a connection before it is closed. */
+        const val MAX_REJECTED_REQUESTS = 64
+    }
 }
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/EmbeddedGateway.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/EmbeddedGateway.kt
@@ -13,6 +13,8 @@
 import cicadagauge.identity.UpstreamId
 import cicadagauge.node.Effect
 import cicadagauge.node.Event
+import cicadagauge.outcome.Reason
+import cicadagauge.outcome.Refusal
 import io.netty.buffer.ByteBuf
 import io.netty.channel.embedded.EmbeddedChannel
 import java.util.concurrent.TimeUnit
@@ -74,6 +76,12 @@
         )
     }
 
+    /** Refuses the request that has arrived last. */
+    fun refuse() {
+        val id = node.events.filterIsInstance<Event.RequestArrived>().last().id
+        registry.refuse(Effect.Refuse(id, Refusal(Reason.UpstreamBusy, "rejected")))
+    }
+
     /** What has been sent over the connection with number [index] so far. */
     fun sentOver(index: Int): String {
         connections[index].runPendingTasks()
