Responses without a length: complete only if the end of the data was read

Cause: Netty reports the end of such a body whenever the channel becomes inactive. The handler took it for complete unless a read had failed before; where a write finds the reset, none does.

Change: connections stay open when the end of the upstream's data is read, so that it is an event of its own; BodyEnd decides in one place.

Why it works: completeness now needs a positive sign, which a reset or a close of this side can't give.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -54,8 +55,11 @@
     private var progressCheck: ScheduledFuture<*>? = null
     private var lastReadNanos = 0L
 
-    /** Whether the connection failed: the end of a body without a length then doesn't complete the response. */
-    private var wasReset = false
+    /** Whether the response that is being read has a length or chunks, or no body. */
+    private var isFramed = false
+
+    /** Whether the end of the upstream's data has been read. */
+    private var hasReadEnd = false
     private var slowness: Double? = null
 
     /** The requests that were rejected on this connection: a late copy of a rejection may still follow. */
@@ -93,6 +97,12 @@
         }
     }
 
+    /** Records that the upstream's data has ended; what the decoder reports of it follows, then the connection closes. */
+    fun endOfDataRead() {
+        hasReadEnd = true
+        keepAlive = false
+    }
+
     /** Handles the end of a read of [length] bytes. A rejection whose rest is missing waits for no further read. */
     fun endRead(length: Int) {
         drain?.add(length)
@@ -117,7 +127,7 @@
             ReferenceCountUtil.release(message)
             return drain(message)
         }
-        lastReadNanos = System.nanoTime()
+        lastReadNanos = context.executor().ticker().nanoTime()
         if (message.decoderResult().isFailure) {
             ReferenceCountUtil.release(message)
             return failAttempt(running)
@@ -147,12 +157,11 @@
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        if (event is IdleStateEvent && attempt == null) close()
+        if (event is ChannelInputShutdownEvent || (event is IdleStateEvent && attempt == null)) close()
     }
 
     @Deprecated("Overrides a deprecated method of Netty")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        wasReset = true
         close()
     }
 
@@ -162,7 +171,7 @@
         slowness = dialect.slowness(response.headers())
         if (!running.hop.isRelay && !isResponseTo(running, response)) return failAttempt(running)
         rejection = if (running.hop.isRelay) homeRefusal(response) else notRun(response)
-        val isFramed = isFramed(response, running)
+        isFramed = isFramed(response, running)
         if (rejection == null && !isFramed && !dialect.allowsCloseDelimitedBody) return failAttempt(running)
         keepAlive = HttpUtil.isKeepAlive(response)
         if (rejection != null) return
@@ -179,7 +188,7 @@
             return
         }
         val isLast = content is LastHttpContent
-        if (isLast && wasReset) {
+        if (isLast && !BodyEnd.of(isFramed, hasReadEnd).isComplete) {
             content.release()
             return failAttempt(running)
         }
@@ -261,7 +270,7 @@
     private fun scheduleProgressCheck(context: ChannelHandlerContext) {
         val limitNanos = limits.responseProgress.inWholeNanoseconds
         progressCheck = context.executor().schedule({
-            val isStalled = System.nanoTime() - lastReadNanos >= limitNanos
+            val isStalled = context.executor().ticker().nanoTime() - lastReadNanos >= limitNanos
             if (attempt != null) if (isStalled) close() else scheduleProgressCheck(context)
         }, limitNanos, TimeUnit.NANOSECONDS)
     }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamResponseDecoder.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamResponseDecoder.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseDecoder
@@ -38,6 +39,11 @@
         if (silentBytes > MAX_SILENT_BYTES) throw TooLongHttpHeaderException("more than $MAX_SILENT_BYTES bytes")
     }
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) handler.endOfDataRead()
+        super.userEventTriggered(context, event)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(message) || handler.attempt?.exchange?.request?.method() == HttpMethod.HEAD
 
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/EmbeddedGateway.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/EmbeddedGateway.kt
@@ -40,6 +40,9 @@
     /** Whether the caller's connection is being read. */
     val isReading: Boolean get() = caller.config().isAutoRead
 
+    /** Whether the caller's connection is open. */
+    val isConnected: Boolean get() = caller.isActive
+
     /** The attempts that have ended. */
     val ended: List<Event.AttemptEnded> get() = node.events.filterIsInstance<Event.AttemptEnded>()
 
