--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -29,7 +29,6 @@
 import cicadagauge.outcome.Reason
 import cicadagauge.outcome.Refusal
 import cicadagauge.peer.PeerMessage
-import cicadagauge.peer.PermitResult
 import cicadagauge.quarantine.CrashDetector
 import cicadagauge.quarantine.RequestDigests
 import cicadagauge.quarantine.RequestQuarantine
@@ -51,6 +50,7 @@
     private val requests = HashMap<RequestId, PendingRequest>()
     private val waiting = LinkedHashSet<PendingRequest>()
     private val schedulers = HomeSchedulers(vms, owners, settings, this, coldUntil)
+    private val permits = PermitReturner(vms, schedulers)
     private val upstreams = HashMap<UpstreamId, Upstream>()
     private val pools = HashMap<PoolName, Pool>()
     private val retryBudgets = RetryBudgets(settings) { vms.all.size }
@@ -181,7 +181,7 @@
         val slowness = (outcome as? AttemptOutcome.Answered)?.slowness
         val result = PermitResults.of(outcome)
         val message = PeerMessage.Release(request.pool.name, request.id, result, now - state.since, slowness)
-        release(state.home, message, now)
+        permits.release(state.home, message, now)
         when (outcome) {
             is AttemptOutcome.Answered -> {
                 request.fingerprint?.let { quarantine.answered(it, now) }
@@ -212,9 +212,10 @@
             state is PendingRequest.State.Running && state.home == from && state.upstream == message.upstream
         if (duplicate) return
         if (request == null || state !is PendingRequest.State.Reserving || state.home != from) {
-            return release(from, PeerMessage.Release(message.pool, message.id, PermitResult.Unused, Duration.ZERO), now)
+            return permits.releaseUnused(message.pool, message.id, from, now)
         }
-        if (isEnding) refuse(request, DispatchRefusals.SHUTTING_DOWN, now) else forward(request, from, message.upstream, now)
+        if (isEnding) return refuse(request, DispatchRefusals.SHUTTING_DOWN, now)
+        forward(request, from, message.upstream, now)
     }
 
     override fun denied(from: VmId, message: PeerMessage.Denied, now: Moment) {
@@ -230,8 +231,7 @@
      */
     private fun refusedByHome(request: PendingRequest, refusal: Refusal, now: Moment) {
         if (refusal.reason == Reason.CutOff || refusal.reason == Reason.ShuttingDown) {
-            val refusalIfLast = DispatchRefusals.of(NotRunCause.Unreachable)
-            return if (request.isBodyRetained) backOff(request, refusalIfLast, now) else refuse(request, refusalIfLast, now)
+            return backOff(request, DispatchRefusals.of(NotRunCause.Unreachable), now)
         }
         val wasRejected = refusal.reason == Reason.UpstreamBusy
         if (wasRejected) request.hasReachedUpstream = true
@@ -339,7 +339,7 @@
     private fun forward(request: PendingRequest, home: VmId, upstream: UpstreamId, now: Moment) {
         val target = upstreams[upstream]
         if (target == null || now >= request.deadline) {
-            releaseUnused(request, home, now)
+            permits.releaseUnused(request.pool.name, request.id, home, now)
             return backOff(request, DispatchRefusals.UPSTREAM_NOT_DECLARED, now)
         }
         waiting -= request
@@ -390,13 +390,14 @@
     }
 
     /**
-     * Waits before the next attempt. If no further attempt is allowed, or none would start before the deadline, refuses
-     * the request with [finalRefusal].
+     * Waits before the next attempt. If no further attempt is allowed, none would start before the deadline, or a part
+     * of the body is no longer retained, refuses the request with [finalRefusal].
      */
     private fun backOff(request: PendingRequest, finalRefusal: Refusal, now: Moment) {
         val exponent = minOf(maxOf(0, request.attempts - 1), MAX_DOUBLINGS)
         val pause = minOf(settings.backoff * (1 shl exponent), settings.maxBackoff)
-        if (request.attempts >= settings.maxAttempts || now + pause >= request.deadline) {
+        val mayRepeat = request.isBodyRetained && request.attempts < settings.maxAttempts
+        if (!mayRepeat || now + pause >= request.deadline) {
             return refuse(request, finalRefusal, now)
         }
         await(request, PendingRequest.State.BackingOff(now + pause), now)
@@ -411,16 +412,8 @@
 
     /** Cancels the reservation of [request] if it is still unanswered. */
     private fun withdraw(request: PendingRequest, now: Moment) {
-        val state = request.state
-        if (state is PendingRequest.State.Reserving) releaseUnused(request, state.home, now)
-    }
-
-    private fun releaseUnused(request: PendingRequest, home: VmId, now: Moment): Unit =
-        release(home, PeerMessage.Release(request.pool.name, request.id, PermitResult.Unused, Duration.ZERO), now)
-
-    private fun release(home: VmId, message: PeerMessage.Release, now: Moment) {
-        val vm = vms.vm(home)
-        if (home == vms.self || vm == null) schedulers.release(vms.self, message, now) else vms.send(vm, message)
+        val home = (request.state as? PendingRequest.State.Reserving)?.home ?: return
+        permits.releaseUnused(request.pool.name, request.id, home, now)
     }
 
     /** Schedules the next check for overdue requests, unless one is scheduled already. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/StopPlan.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/StopPlan.kt
@@ -1,7 +1,7 @@
 /*
  * The course of a planned stop. A stopping VM goes on accepting requests until load balancers direct callers elsewhere,
- * then finishes what it has accepted. Handing over its duties needs the store, which may not answer, so that runs beside
- * these phases and delays none of them but the end.
+ * then finishes what it has accepted. Handing over its duties needs the store, which may not answer, so that runs
+ * beside these phases and delays none of them but the end.
  */
 package cicadagauge.gateway
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamConnections.kt
@@ -1,7 +1,8 @@
 /*
  * Connections to upstreams. A connection carries one request at a time and is reused only if the request was sent, the
  * response received completely and nothing after it, so that a late or second response can never be taken for that of
- * another request. A connection never carries the same request twice: a response names its request, but not the attempt.
+ * another request. A connection never carries the same request twice, since a response names its request, but not the
+ * attempt.
  */
 package cicadagauge.gateway.upstream
 
@@ -46,7 +47,9 @@
         val reused = pool.takeIdle(exchange)
         when {
             reused != null -> pool.send(attempt, reused)
-            pool.open >= hop.maxConnections && !pool.closeOneIdle() -> attempt.end(AttemptOutcome.NotRun(NotRunCause.Busy))
+            pool.open >= hop.maxConnections && !pool.closeOneIdle() -> attempt.end(
+                AttemptOutcome.NotRun(NotRunCause.Busy),
+            )
             else -> pool.connect(attempt)
         }
     }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -97,7 +97,7 @@
         }
     }
 
-    /** Records that the upstream's data has ended; what the decoder reports of it follows, then the connection closes. */
+    /** Records the end of the upstream's data. What the decoder reports of it follows, then the connection closes. */
     fun endOfDataRead() {
         hasReadEnd = true
         keepAlive = false
