Calls: bound what is buffered of a response, and close on what no call asked for

Reported by other operators: bytes without end instead of an answer fill the memory of the VM that called, and all its requests end.

Cause here: JsonHttpClient buffered up to 8 MB of every response, with 32 MB of memory; a head that can't be read counted as an answer with status 999, and its connection was read on without end; data on idle connections was ignored.

Change: the limit belongs to the call, 64 KiB unless the platform answers; what is unreadable is lost; what nobody asked for closes the connection; a call ends once everything that came with its response is read.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
@@ -5,19 +5,17 @@
 package cicadagauge.gateway.control
 
 import cicadagauge.gateway.ProtocolHeaders
-import cicadagauge.gateway.TcpKeepAlive
 import cicadagauge.gateway.isConnectionRefused
 import cicadagauge.identity.Address
-import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpClientCodec
@@ -26,11 +24,16 @@
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
-/** One call. By default it is a GET without a [body] and a POST with one. */
+/**
+ * One call. By default it is a GET without a [body] and a POST with one.
+ *
+ * @property maxResponseBytes how long the body of the response may be; the connection is closed when it is longer
+ */
 public class JsonCall(
     public val target: Address,
     public val path: String,
@@ -38,7 +41,16 @@
     public val timeout: Duration,
     public val method: HttpMethod = if (body == null) HttpMethod.GET else HttpMethod.POST,
     public val headers: Map<String, String> = emptyMap(),
-)
+    public val maxResponseBytes: Int = SMALL_RESPONSE_BYTES,
+) {
+    public companion object {
+        /** A limit for responses of upstreams and peers: many may arrive at the same time, and all are buffered. */
+        public const val SMALL_RESPONSE_BYTES: Int = 65_536
+
+        /** A limit for responses of the platform's services, which list what is in a whole deployment. */
+        public const val LARGE_RESPONSE_BYTES: Int = 8 * 1_024 * 1_024
+    }
+}
 
 /** The result of a [JsonCall]. */
 public sealed interface CallResult {
@@ -68,7 +80,13 @@
 }
 
 /** Makes calls on [loop]. [headers] are sent with each of them. */
-public class JsonHttpClient(private val loop: EventLoop, private val headers: Map<String, String>) {
+public class JsonHttpClient internal constructor(
+    private val loop: EventLoop,
+    private val headers: Map<String, String>,
+    private val connector: CallConnector,
+) {
+    public constructor(loop: EventLoop, headers: Map<String, String>) : this(loop, headers, TcpCallConnector(loop))
+
     private val idle = HashMap<Address, ArrayDeque<Channel>>()
 
     /** Makes [call] and passes the body of a 2xx response to [onBody], or null if there was none in time. */
@@ -92,11 +110,7 @@
     }
 
     private fun connect(call: JsonCall, pending: PendingCall) {
-        val bootstrap = Bootstrap().group(loop).channel(NioSocketChannel::class.java)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, call.timeout.inWholeMilliseconds.toInt())
-            .option(ChannelOption.TCP_NODELAY, true)
-            .handler(Initializer())
-        val connected = TcpKeepAlive.enable(bootstrap).connect(call.target.host, call.target.port)
+        val connected = connector.connect(call.target, call.timeout, Initializer(call.maxResponseBytes))
         pending.connected = connected
         connected.addListener { result ->
             if (!result.isSuccess) return@addListener pending.connectFailed(result.cause())
@@ -166,28 +180,69 @@
         }
     }
 
-    private inner class Initializer : ChannelInitializer<Channel>() {
+    private inner class Initializer(private val maxResponseBytes: Int) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAX_RESPONSE_BYTES), ResponseHandler())
+            val handler = ResponseHandler()
+            channel.pipeline()
+                .addLast(
+                    UnsolicitedDataGuard(handler),
+                    HttpClientCodec(),
+                    HttpObjectAggregator(maxResponseBytes),
+                    handler,
+                )
+        }
+    }
+
+    /** Closes a connection on which data arrives that no call waits for. */
+    private class UnsolicitedDataGuard(private val handler: ResponseHandler) : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (handler.current != null) {
+                context.fireChannelRead(message)
+            } else {
+                ReferenceCountUtil.release(message)
+                context.close()
+            }
         }
     }
 
+    /** Ends a call once all that arrived with its response is read; if that is more, the connection is closed. */
     private inner class ResponseHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
         var current: PendingCall? = null
+        private var answer: CallResult.Answered? = null
+        private var canBeReused = false
 
         override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
-            val pending = current ?: return
-            current = null
+            if (current == null || answer != null || response.decoderResult().isFailure) {
+                canBeReused = false
+                context.close()
+                return
+            }
             val bytes = ByteArray(response.content().readableBytes()).also { response.content().readBytes(it) }
             val headers = response.headers()
-            if (HttpUtil.isKeepAlive(response)) addIdle(pending.call.target, context.channel()) else context.close()
-            pending.finish(CallResult.Answered(response.status().code(), bytes) { headers[it] })
+            canBeReused = HttpUtil.isKeepAlive(response)
+            answer = CallResult.Answered(response.status().code(), bytes) { headers[it] }
+        }
+
+        override fun channelReadComplete(context: ChannelHandlerContext) {
+            endCall(context)
+            context.fireChannelReadComplete()
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
+            canBeReused = false
+            endCall(context)
             current?.fail()
         }
 
+        private fun endCall(context: ChannelHandlerContext) {
+            val result = answer ?: return
+            val pending = current ?: return
+            answer = null
+            current = null
+            if (canBeReused) addIdle(pending.call.target, context.channel()) else context.close()
+            pending.finish(result)
+        }
+
         @Deprecated("Overrides a deprecated method of Netty")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             context.close()
@@ -196,7 +251,6 @@
 
     public companion object {
         private const val MAX_IDLE_PER_TARGET = 16
-        private const val MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024
 
         /** The headers that carry the deployment's [secret] and name the sender [vm]. */
         public fun authFields(secret: String, vm: String): Map<String, String> =
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/DefaultEnvironment.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/DefaultEnvironment.kt
@@ -47,7 +47,13 @@
         override fun store(call: StoreCall, reply: (StoreReply) -> Unit): CancellableCall {
             val wait = if (call is StoreCall.Watch) call.wait else Duration.ZERO
             val body = STORE_WRITER.writeValueAsBytes(call)
-            val jsonCall = JsonCall(store, PlatformPaths.STORE, body, times.storeCallTimeout + wait)
+            val jsonCall = JsonCall(
+                target = store,
+                path = PlatformPaths.STORE,
+                body = body,
+                timeout = times.storeCallTimeout + wait,
+                maxResponseBytes = JsonCall.LARGE_RESPONSE_BYTES,
+            )
             return client.call(jsonCall) { responseBody ->
                 val parsed = responseBody?.let { parse { Json.mapper.readValue(it, StoreReply::class.java) } }
                 reply(parsed ?: StoreReply.Unavailable)
@@ -68,7 +74,14 @@
 
         /** Reads the VM list, then again after each poll interval. */
         private fun pollVms() {
-            client.call(JsonCall(vmList, PlatformPaths.VMS, null, times.storeCallTimeout)) { responseBody ->
+            val call = JsonCall(
+                target = vmList,
+                path = PlatformPaths.VMS,
+                body = null,
+                timeout = times.storeCallTimeout,
+                maxResponseBytes = JsonCall.LARGE_RESPONSE_BYTES,
+            )
+            client.call(call) { responseBody ->
                 val vms = responseBody?.let { parse { Json.mapper.readValue(it, VMS) } }
                 if (vms != null) submit(Event.VmsListed(vms))
                 loop.schedule(::pollVms, times.vmListPollInterval.inWholeMilliseconds, TimeUnit.MILLISECONDS)
--- /dev/null
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/control/ExtraCallResponseTest.kt
@@ -0,0 +1,43 @@
+package cicadagauge.gateway.control
+
+import cicadagauge.gateway.upstream.read
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+
+private const val RESPONSE = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+private const val CONFLICT = "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n"
+
+class ExtraCallResponseTest :
+    FunSpec({
+        test("a second response that is read with the first is no answer to the next call") {
+            val calls = EmbeddedCalls()
+            var next = emptyList<CallResult>()
+            val first = calls.call { next = calls.call() }
+            calls.connections[0].read(CONFLICT + RESPONSE)
+            statuses(first) shouldContainExactly listOf(409)
+            next.shouldBeEmpty()
+            calls.connections.map { it.isOpen } shouldContainExactly listOf(false, true)
+        }
+
+        test("data on an idle connection closes it") {
+            for (data in listOf("\r\n", "HTTP/1.1 200", RESPONSE)) {
+                val calls = EmbeddedCalls()
+                calls.call()
+                calls.connections[0].read(RESPONSE)
+                calls.connections[0].isOpen shouldBe true
+                calls.connections[0].read(data)
+                withClue(data) { calls.connections[0].isOpen shouldBe false }
+            }
+        }
+
+        test("what can't be read as a response is no answer") {
+            val calls = EmbeddedCalls()
+            val results = calls.call()
+            calls.connections[0].read("garbage\r\n\r\n")
+            statuses(results) shouldContainExactly listOf(null)
+            calls.connections[0].isOpen shouldBe false
+        }
+    })
