Responses: after the deadline, cut off those whose upstream has stalled

Cause: the time-out of an attempt did nothing once the response had begun.

Change: after the deadline the upstream may be silent for 250 ms. What goes on arriving is passed on whole, also late.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
@@ -89,11 +89,13 @@
  * @property idleTimeout how long a connection may be unused before it is closed; fractions of a second are ignored
  * @property responseProgress how long a response that has begun may make no progress before its connection is closed;
  * a pause because the caller reads slowly counts as well
+ * @property overdueProgress the same after the request's deadline; a pause because the caller reads slowly doesn't count
  */
 public data class UpstreamLimits(
     val connectTimeout: Duration = 300.milliseconds,
     val idleTimeout: Duration = 30.seconds,
     val responseProgress: Duration = 10.seconds,
+    val overdueProgress: Duration = 250.milliseconds,
 ) {
     public companion object {
         /** For upstreams that close connections after 10 s without traffic: this side closes them well before. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
@@ -87,7 +87,10 @@
         outcome is AttemptOutcome.Answered || outcome is AttemptOutcome.NotRun || outcome is AttemptOutcome.Refused
 
     private fun onTimeout() {
-        if (exchange.hasResponseStarted) return
+        if (exchange.hasResponseStarted) {
+            channel?.upstreamHandler()?.deadlinePassed()
+            return
+        }
         end(
             if (channel == null) {
                 AttemptOutcome.NotRun(NotRunCause.Unreachable)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -26,6 +26,7 @@
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
 
 /**
  * Reads the responses on one upstream connection and passes them to the attempt that uses it. A response ends its
@@ -55,6 +56,9 @@
     private var progressCheck: ScheduledFuture<*>? = null
     private var lastReadNanos = 0L
 
+    /** Whether the deadline of the request has passed, while its response was being read. */
+    private var isOverdue = false
+
     /** Whether the response that is being read has a length or chunks, or no body. */
     private var isFramed = false
 
@@ -83,9 +87,20 @@
         attempt = next
         status = 0
         isComplete = false
+        isOverdue = false
         rejection = null
     }
 
+    /**
+     * Handles the deadline of a request whose response has begun: it is passed on as long as more of it arrives, but
+     * cut off when the upstream stalls.
+     */
+    fun deadlinePassed() {
+        isOverdue = true
+        progressCheck?.cancel(false)
+        scheduleProgressCheck(context)
+    }
+
     /** Detaches the attempt, which has ended, and closes the connection unless it [canBeReused] after its response. */
     fun release(canBeReused: Boolean) {
         attempt = null
@@ -265,14 +280,20 @@
 
     /**
      * Closes the connection when nothing more of a response is read for [UpstreamLimits.responseProgress], also while
-     * reading is paused because the caller reads slowly.
+     * reading is paused because the caller reads slowly; after the request's deadline when the upstream has sent
+     * nothing for [UpstreamLimits.overdueProgress].
      */
     private fun scheduleProgressCheck(context: ChannelHandlerContext) {
-        val limitNanos = limits.responseProgress.inWholeNanoseconds
+        val interval = if (isOverdue) limits.overdueProgress else limits.responseProgress
         progressCheck = context.executor().schedule({
-            val isStalled = context.executor().ticker().nanoTime() - lastReadNanos >= limitNanos
-            if (attempt != null) if (isStalled) close() else scheduleProgressCheck(context)
-        }, limitNanos, TimeUnit.NANOSECONDS)
+            if (attempt != null) if (isStalled()) close() else scheduleProgressCheck(context)
+        }, interval.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+    }
+
+    private fun isStalled(): Boolean {
+        val silence = (context.executor().ticker().nanoTime() - lastReadNanos).nanoseconds
+        val isReading = context.channel().config().isAutoRead
+        return silence >= limits.responseProgress || (isOverdue && isReading && silence >= limits.overdueProgress)
     }
 
     private companion object {
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/EmbeddedGateway.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/EmbeddedGateway.kt
@@ -79,6 +79,12 @@
         )
     }
 
+    /** Lets the deadline of the request that was sent last pass. */
+    fun passDeadline() {
+        caller.advanceTimeBy(1, TimeUnit.HOURS)
+        caller.runScheduledPendingTasks()
+    }
+
     /** Refuses the request that has arrived last. */
     fun refuse() {
         val id = node.events.filterIsInstance<Event.RequestArrived>().last().id
