Keys: stop serving them at upstreams that have been out of service for too long

Cause: for keyed pools the scheduler followed the owner in the record and never looked at whether it is in service. A record changes only where another upstream can take the keys and an allocator moves them.

After that, requests are denied at once and truthfully (no-upstream), those that wait as well. The two cases of SchedulerTest need the new times; without the check in the scheduler the requests are granted.

--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/budget/LateCoordinatorTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/budget/LateCoordinatorTest.kt
@@ -11,6 +11,7 @@
 import cicadagauge.identity.AvailabilityZone
 import cicadagauge.identity.VmId
 import cicadagauge.membership.Vm
+import cicadagauge.node.DispatchSettings
 import cicadagauge.node.Event
 import cicadagauge.node.NodeSettings
 import cicadagauge.node.SelfRegisteredNode
@@ -110,7 +111,10 @@
                 val caller = CallerFixture(vmCount = 3, network) { vm, zone ->
                     val address = Address(vm.value, 1)
                     val registered = Vm(vm, address, address, zone)
-                    val settings = SelfRegisteredNode.settings(registered, retryRatio = 0.1, retryBurst = 10)
+                    val settings = SelfRegisteredNode.settings(
+                        registered,
+                        DispatchSettings(retryRatio = 0.1, retryBurst = 10),
+                    )
                     NodeSettings(vm, zone, budgets = settings.budgets)
                 }
                 caller.fleet.time.advanceBy(10.seconds)
--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/budget/ManyCustomersTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/budget/ManyCustomersTest.kt
@@ -6,6 +6,7 @@
 import cicadagauge.bench.virtual.VirtualVm
 import cicadagauge.identity.Address
 import cicadagauge.membership.Vm
+import cicadagauge.node.DispatchSettings
 import cicadagauge.node.SelfRegisteredNode
 import cicadagauge.peer.PeerMessage
 import cicadagauge.standins.deployment.DeploymentShape
@@ -42,7 +43,7 @@
                 shape,
                 nodeSettings = { id, zone ->
                     val vm = Vm(id, Address(id.value, 1), Address(id.value, 1), zone)
-                    SelfRegisteredNode.settings(vm, retryRatio = 0.2, retryBurst = 50)
+                    SelfRegisteredNode.settings(vm, DispatchSettings(retryRatio = 0.2, retryBurst = 50))
                 },
             )
             val fleet = VirtualFleet(settings, talk)
--- a/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/configuration/LostWatchTest.kt
+++ b/cicadagauge-bench/src/test/kotlin/cicadagauge/bench/configuration/LostWatchTest.kt
@@ -6,6 +6,7 @@
 import cicadagauge.bench.virtual.VirtualVm
 import cicadagauge.identity.Address
 import cicadagauge.membership.Vm
+import cicadagauge.node.DispatchSettings
 import cicadagauge.node.SelfRegisteredNode
 import cicadagauge.node.StateChange
 import cicadagauge.standins.KnownFailure
@@ -37,7 +38,7 @@
                 SHAPE,
                 nodeSettings = { id, zone ->
                     val vm = Vm(id, Address(id.value, 1), Address(id.value, 1), zone)
-                    SelfRegisteredNode.settings(vm, retryRatio = 0.2, retryBurst = 50)
+                    SelfRegisteredNode.settings(vm, DispatchSettings(retryRatio = 0.2, retryBurst = 50))
                 },
             )
             val fleet = VirtualFleet(settings, recorder)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
@@ -73,6 +73,7 @@
 ) {
     private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
     private val usable = HashSet<UpstreamId>()
+    private val outOfService = OutOfServiceTimes(settings)
     private val queues = HashMap<Target, FairQueue<Reservation>>()
     private val permits = HashMap<ReservationKey, Permit>()
     private val queued = HashSet<ReservationKey>()
@@ -95,6 +96,7 @@
         }
         usable.clear()
         newPool.upstreams.filterNot(declaration::isOut).forEach { usable += it.id }
+        outOfService.configure(newPool.upstreams, declaration, now)
         ownersChanged(now)
     }
 
@@ -150,6 +152,8 @@
             queue.removeIf { it.deadline <= now }.forEach { deny(it, DEADLINE_BEFORE_RUN, now) }
             if (target == NO_CURRENT_OWNER) {
                 queue.removeIf { it.since + settings.ownerWait <= now }.forEach { deny(it, OWNER_UNAVAILABLE, now) }
+            } else if (isOutOfService(target, now)) {
+                queue.drain().forEach { deny(it, OUT_OF_SERVICE, now) }
             } else if (isStalled(target, now)) {
                 queue.drain().forEach { deny(it, STALLED, now) }
             } else if (queue.size > 0) {
@@ -191,6 +195,10 @@
         output.denied(reservation, refusal, now)
     }
 
+    /** Whether the owner of the keys of [target] gets no more requests for them, because it is out of service. */
+    private fun isOutOfService(target: Target, now: Moment): Boolean =
+        target.owner?.let { !outOfService.mayServe(it, now) } ?: false
+
     /** Whether all upstreams of [target] have stalled, so that waiting for them is pointless. */
     private fun isStalled(target: Target, now: Moment): Boolean {
         val serving = upstreamsOf(target)
@@ -224,7 +232,7 @@
     }
 
     private fun freeUpstream(target: Target, now: Moment): UpstreamLoad? = when {
-        target.owner != null -> loads[target.owner]?.takeIf { it.hasCapacity(now) }
+        target.owner != null -> loads[target.owner]?.takeIf { it.hasCapacity(now) && !isOutOfService(target, now) }
         target.zone != null -> fastestFreeIn(target.zone, now)
         else -> null
     }
@@ -255,6 +263,7 @@
         ) {
             return Refusal(Reason.Overloaded, "too many requests wait", expectedWait(target, reservation, queue, now))
         }
+        if (isOutOfService(target, now)) return OUT_OF_SERVICE
         if (isStalled(target, now)) return STALLED
         val wait = expectedWait(target, reservation, queue, now)
         if (reservation.maySpill && wait > settings.spillWait) {
@@ -337,6 +346,7 @@
         val DEADLINE_BEFORE_RUN =
             Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free", RETRY_AFTER)
         val OWNER_UNAVAILABLE = Refusal(Reason.OwnerUnavailable, "the key is on its way to another owner", RETRY_AFTER)
+        val OUT_OF_SERVICE = Refusal(Reason.NoUpstream, "the owner of the key is out of service", RETRY_AFTER)
         val STALLED = Refusal(Reason.Overloaded, "the upstream has stopped to answer", RETRY_AFTER)
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -185,6 +185,8 @@
  * @property relayMargin How long before its deadline a home VM answers a relayed request, and how long after it the
  * relaying VM gives up waiting.
  * @property ownerWait How long a request may wait while its slot moves to another owner.
+ * @property drainingServiceTime How long a draining upstream goes on serving its keys, while they move.
+ * @property takenOutServiceTime The same for an upstream that operators have taken out of service, or its zone.
  * @property stallTimeout How long an upstream that runs requests may answer none before it counts as stalled. Slow
  * upstreams are allowed longer.
  * @property spillWait Expected wait above which a request without a key tries another availability zone.
@@ -212,6 +214,8 @@
     val permitReportInterval: Duration = 100.milliseconds,
     val relayMargin: Duration = 10.milliseconds,
     val ownerWait: Duration = 500.milliseconds,
+    val drainingServiceTime: Duration = 1_600.milliseconds,
+    val takenOutServiceTime: Duration = 4.seconds,
     val stallTimeout: Duration = 400.milliseconds,
     val spillWait: Duration = 40.milliseconds,
     val heatReportInterval: Duration = 500.milliseconds,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/SelfRegisteredNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/SelfRegisteredNode.kt
@@ -38,11 +38,8 @@
     /** The time within which the other VMs have read a new registration. */
     private val LISTED_BEFORE_READY: Duration = 400.milliseconds
 
-    /**
-     * The settings of the node that runs on [vm] and registers itself as such, with [retryRatio] and [retryBurst] as in
-     * [DispatchSettings].
-     */
-    public fun settings(vm: Vm, retryRatio: Double, retryBurst: Int): NodeSettings = NodeSettings(
+    /** The settings of the node that runs on [vm] and registers itself as such, with the limits of [dispatch]. */
+    public fun settings(vm: Vm, dispatch: DispatchSettings): NodeSettings = NodeSettings(
         vm = vm.id,
         zone = vm.zone,
         ownership = OwnershipSettings(
@@ -61,11 +58,7 @@
             coordinatorSuspicion = BUDGET_REQUEST_INTERVAL,
             seatLag = ABSENCE_TIMEOUT,
         ),
-        dispatch = DispatchSettings(
-            retryRatio = retryRatio,
-            retryBurst = retryBurst,
-            sweepInterval = 10.milliseconds,
-        ),
+        dispatch = dispatch.copy(sweepInterval = 10.milliseconds),
         dissemination = DisseminationSettings(
             watchersPerZone = Int.MAX_VALUE,
             recordWatchersPerZone = 1,
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
@@ -68,6 +68,13 @@
         scheduler.configure(pool, Declaration(emptySet(), listOf(pool), emptyList(), emptyList()), Moment.ZERO)
     }
 
+    /** Lets upstream number [index] be in the state that [change] makes of it, with [zonesOut] out of service. */
+    fun configure(now: Moment, zonesOut: Set<AvailabilityZone> = emptySet(), change: (Upstream) -> Upstream = { it }) {
+        val changed = pool.copy(upstreams = upstreams.map(change))
+        val declaration = Declaration(emptySet(), listOf(changed), emptyList(), emptyList(), zonesOut = zonesOut)
+        scheduler.configure(changed, declaration, now)
+    }
+
     override fun reserved(reservation: Reservation, upstream: UpstreamId, now: Moment) {
         reserved[reservation.id] = upstream
         reservedAt += now
@@ -113,10 +120,10 @@
     fun sweep(now: Moment) = scheduler.sweep(now)
 
     /** Serves [times] requests at every upstream, so that its average duration is [took]; returns the time after. */
-    fun warmUp(took: Duration, times: Int = 40): Moment {
+    fun warmUp(took: Duration, times: Int = 40, slot: Slot? = null): Moment {
         var now = Moment.ZERO
         repeat(times) {
-            val ids = upstreams.map { submit(now) }
+            val ids = upstreams.map { submit(now, slot = slot) }
             now += took
             ids.forEach { releaseServed(it, took, now) }
         }
@@ -124,8 +131,61 @@
     }
 }
 
+/** A record by which [owner] owns all slots. */
+private fun record(owner: String, version: Long, isServed: Boolean) = OwnershipRecord(
+    pool = PoolName("p"),
+    term = Term(1),
+    version = RecordVersion(version),
+    allocator = VM,
+    slots = 100,
+    members = emptyList(),
+    ranges = listOf(
+        OwnedRange(
+            slots = SlotRange(0, 99),
+            owner = RangeOwner(UpstreamId(owner), null, Address(owner, 1)),
+            fence = RecordVersion(version),
+            isServed = isServed,
+        ),
+    ),
+)
+
+private fun ownedBy(owner: String) = OwnerDirectory().apply { adopt(record(owner, version = 1, isServed = true)) }
+
 class SchedulerTest :
     FunSpec({
+        // Guards against keys that are served without end by upstreams that are out of service, because they can't
+        // move: all zones are out (EVAC), or the allocator is lost (DRAIN).
+        data class Absence(val title: String, val serviceTime: Duration, val begin: SchedulerFixture.(Moment) -> Unit)
+
+        val absences = listOf(
+            Absence("drains", DispatchSettings().drainingServiceTime) { now ->
+                configure(now) { it.copy(isDraining = true) }
+            },
+            Absence("has its zone taken out", DispatchSettings().takenOutServiceTime) { now ->
+                configure(now, zonesOut = setOf(ZONE))
+            },
+        )
+        for (absence in absences) {
+            test(
+                "an owner that ${absence.title} serves its keys for a limited time, then requests are denied at once",
+            ) {
+                val fixture = SchedulerFixture(count = 1, isKeyed = true, owners = ownedBy("u0"))
+                val begin = fixture.warmUp(10.milliseconds, slot = Slot(5))
+                absence.begin(fixture, begin)
+                val before = fixture.submit(begin + absence.serviceTime - 1.milliseconds, slot = Slot(5))
+                fixture.reserved[before] shouldBe UpstreamId("u0")
+                val queued = List(3) { fixture.submit(begin + absence.serviceTime - 1.milliseconds, slot = Slot(5)) }
+                fixture.sweep(begin + absence.serviceTime)
+                fixture.denied[queued.last()]?.reason shouldBe Reason.NoUpstream
+                val after = fixture.submit(begin + absence.serviceTime, slot = Slot(5))
+                fixture.denied[after]?.reason shouldBe Reason.NoUpstream
+                fixture.configure(begin + 10.seconds)
+                fixture.reserved.keys.toList().forEach { fixture.releaseServed(it, 1.milliseconds, begin + 10.seconds) }
+                val back = fixture.submit(begin + 10.seconds, slot = Slot(5))
+                fixture.reserved[back] shouldBe UpstreamId("u0")
+            }
+        }
+
         test("a request that cannot end before its deadline is denied at once") {
             val fixture = SchedulerFixture(count = 1)
             val now = fixture.warmUp(60.milliseconds)
@@ -226,27 +286,11 @@
         test("a request whose slot is moving to another owner waits for that owner, but not for long") {
             val owners = OwnerDirectory()
             val fixture = SchedulerFixture(count = 2, isKeyed = true, owners = owners)
-            fun record(version: Long, isServed: Boolean) = OwnershipRecord(
-                pool = PoolName("p"),
-                term = Term(1),
-                version = RecordVersion(version),
-                allocator = VM,
-                slots = 100,
-                members = emptyList(),
-                ranges = listOf(
-                    OwnedRange(
-                        slots = SlotRange(0, 99),
-                        owner = RangeOwner(UpstreamId("u1"), null, Address("u1", 1)),
-                        fence = RecordVersion(version),
-                        isServed = isServed,
-                    ),
-                ),
-            )
-            owners.adopt(record(1, isServed = false))
+            owners.adopt(record("u1", 1, isServed = false))
             val waits = fixture.submit(Moment.ZERO, deadline = 5.seconds, slot = Slot(7))
             fixture.sweep(Moment.ZERO + 600.milliseconds)
             fixture.denied.getValue(waits).reason shouldBe Reason.OwnerUnavailable
-            owners.adopt(record(2, isServed = true))
+            owners.adopt(record("u1", 2, isServed = true))
             val served = fixture.submit(Moment.ZERO + 1.seconds, slot = Slot(7))
             fixture.reserved.getValue(served) shouldBe UpstreamId("u1")
         }
