Orders: send a release over a connection of its own

Cause: an order bears no id; its answer is known by its place on a connection that carries one order after the other.

Evidence: with the idle connection taken instead, ExtraCallResponseTest "a call that needs its own connection" fails: the copy ends the call.

Change: the release, whose answer is the proof, needs a connection that carries no other call.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
@@ -32,6 +32,8 @@
 /**
  * One call. By default it is a GET without a [body] and a POST with one.
  *
+ * @property needsOwnConnection whether the call needs a connection that carries no other call. An answer names no call,
+ * so a late copy of the answer to an earlier one can't be told from that to this one.
  * @property maxResponseBytes how long the body of the response may be; the connection is closed when it is longer
  */
 public class JsonCall(
@@ -42,6 +44,7 @@
     public val method: HttpMethod = if (body == null) HttpMethod.GET else HttpMethod.POST,
     public val headers: Map<String, String> = emptyMap(),
     public val maxResponseBytes: Int = SMALL_RESPONSE_BYTES,
+    public val needsOwnConnection: Boolean = false,
 ) {
     public companion object {
         /** A limit for responses of upstreams and peers: many may arrive at the same time, and all are buffered. */
@@ -98,7 +101,7 @@
     public fun exchange(call: JsonCall, onResult: (CallResult) -> Unit): CancellableCall {
         val pending = PendingCall(call, onResult)
         pending.timeout = loop.schedule({ pending.fail() }, call.timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-        val reused = takeIdle(call.target)
+        val reused = if (call.needsOwnConnection) null else takeIdle(call.target)
         if (reused == null) connect(call, pending) else send(reused, pending)
         return CancellableCall { pending.cancel() }
     }
@@ -219,7 +222,7 @@
             }
             val bytes = ByteArray(response.content().readableBytes()).also { response.content().readBytes(it) }
             val headers = response.headers()
-            canBeReused = HttpUtil.isKeepAlive(response)
+            canBeReused = HttpUtil.isKeepAlive(response) && current?.call?.needsOwnConnection == false
             answer = CallResult.Answered(response.status().code(), bytes) { headers[it] }
         }
 
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/control/EmbeddedCalls.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/control/EmbeddedCalls.kt
@@ -14,11 +14,10 @@
     val connections = ArrayList<EmbeddedChannel>()
 
     /** Makes a call; returns its results, of which there must never be more than one. */
-    fun call(maxResponseBytes: Int = JsonCall.SMALL_RESPONSE_BYTES, onResult: () -> Unit = {}): List<CallResult> {
+    fun call(needsOwnConnection: Boolean = false, onResult: () -> Unit = {}): List<CallResult> {
         val results = ArrayList<CallResult>()
-        client.exchange(
-            JsonCall(Address("127.0.0.1", 1), "/", "{}".toByteArray(), 1.hours, maxResponseBytes = maxResponseBytes),
-        ) {
+        val target = Address("127.0.0.1", 1)
+        client.exchange(JsonCall(target, "/", "{}".toByteArray(), 1.hours, needsOwnConnection = needsOwnConnection)) {
             results += it
             onResult()
         }
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/control/ExtraCallResponseTest.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/control/ExtraCallResponseTest.kt
@@ -33,6 +33,20 @@
             }
         }
 
+        // Guards against a late copy of an earlier answer that counts as the proof that an upstream has released keys on
+        // which it is still at work (review case 3).
+        test("a call that needs its own connection shares none with the calls before and after it") {
+            val calls = EmbeddedCalls()
+            calls.call()
+            calls.connections[0].read(RESPONSE)
+            val alone = calls.call(needsOwnConnection = true)
+            calls.connections[0].read(RESPONSE)
+            alone.shouldBeEmpty()
+            calls.connections[1].read(CONFLICT)
+            statuses(alone) shouldContainExactly listOf(409)
+            calls.connections[1].isOpen shouldBe false
+        }
+
         test("what can't be read as a response is no answer") {
             val calls = EmbeddedCalls()
             val results = calls.call()
