--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/OutOfServiceTimes.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/OutOfServiceTimes.kt
@@ -8,8 +8,8 @@
 import cicadagauge.node.DispatchSettings
 
 /**
- * Until when upstreams that are out of service go on serving the keys that they own. Keys take time to move, and may not
- * move at all, because no other upstream is left or the pool's allocator is lost.
+ * Until when upstreams that are out of service go on serving the keys that they own. Keys take time to move, and may
+ * not move at all, because no other upstream is left or the pool's allocator is lost.
  */
 internal class OutOfServiceTimes(private val settings: DispatchSettings) {
     private val absences = HashMap<UpstreamId, Absence>()
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -28,6 +28,7 @@
 import io.netty.channel.nio.NioIoHandler
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** An entry VM: its ports, its node and its connections to upstreams, peers and the platform. */
 public class Gateway(private val settings: GatewaySettings, private val environment: Environment) {
@@ -119,7 +120,8 @@
         val plan = StopPlan(start, announceStop(), limit, settings.stop)
         var phase = StopPhase.Accepting
         while (phase != StopPhase.Ended) {
-            Thread.sleep(POLL_MILLIS)
+            val pause = if (phase == StopPhase.Accepting) settings.stop.drainDelay else POLL_MILLIS.milliseconds
+            Thread.sleep(minOf(pause, limit).inWholeMilliseconds)
             val isIdle = phase != StopPhase.Accepting && areDutiesHandedOver && !isServingCallers()
             val next = plan.phaseAt(MonotonicClock.now(), isIdle)
             if (phase == StopPhase.Accepting && next != phase) stopAccepting()
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
@@ -89,7 +89,7 @@
  * @property idleTimeout how long a connection may be unused before it is closed; fractions of a second are ignored
  * @property responseProgress how long a response that has begun may make no progress before its connection is closed;
  * a pause because the caller reads slowly counts as well
- * @property overdueProgress the same after the request's deadline; a pause because the caller reads slowly doesn't count
+ * @property overdueProgress the same after the request's deadline, without pauses because the caller reads slowly
  */
 public data class UpstreamLimits(
     val connectTimeout: Duration = 300.milliseconds,
