--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
@@ -68,7 +68,7 @@
         scheduler.configure(pool, Declaration(emptySet(), listOf(pool), emptyList(), emptyList()), Moment.ZERO)
     }
 
-    /** Lets upstream number [index] be in the state that [change] makes of it, with [zonesOut] out of service. */
+    /** Puts every upstream in the state that [change] makes of it, with [zonesOut] out of service. */
     fun configure(now: Moment, zonesOut: Set<AvailabilityZone> = emptySet(), change: (Upstream) -> Upstream = { it }) {
         val changed = pool.copy(upstreams = upstreams.map(change))
         val declaration = Declaration(emptySet(), listOf(changed), emptyList(), emptyList(), zonesOut = zonesOut)
