Admission: a configuration without a list of customers needs no keys

Callers saw 401 for every request on deployments whose configuration has no list of customers: the codec turned the missing list into an empty one, and admission then knew no key.

Declaration.requiresCustomerKey says whether keys are needed. A key that is sent where none is needed names no customer and is not passed on. In the project's own format the field is explicit and true by default, so a forgotten section opens nothing.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/declaration/Declaration.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/declaration/Declaration.kt
@@ -21,6 +21,8 @@
  * coordinate a customer's budget with the other VMs admits the customer's rate divided by the number of entry VMs.
  * @property zonesOut availability zones that operators have taken out of service.
  * @property upstreamsOut upstreams that operators have taken out of service.
+ * @property requiresCustomerKey whether requests need a customer's key, except on open routes; if not, keys are neither
+ * checked nor passed on.
  */
 public data class Declaration(
     val zones: Set<AvailabilityZone>,
@@ -30,6 +32,7 @@
     val entryVms: Int = DeclarationDefaults.ENTRY_VMS,
     val zonesOut: Set<AvailabilityZone> = emptySet(),
     val upstreamsOut: Set<UpstreamId> = emptySet(),
+    val requiresCustomerKey: Boolean = DeclarationDefaults.REQUIRES_CUSTOMER_KEY,
 ) {
     /** Returns the pool called [name], or null if it is not declared. */
     public fun pool(name: PoolName): Pool? = pools.firstOrNull { it.name == name }
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/declaration/DeclarationDefaults.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/declaration/DeclarationDefaults.kt
@@ -9,6 +9,7 @@
 
     /** Value of [Declaration.entryVms] that stands for the number of entry VMs currently in the deployment. */
     public const val DYNAMIC_ENTRY_VMS: Int = 0
+    public const val REQUIRES_CUSTOMER_KEY: Boolean = true
     public const val KEYED: Boolean = true
     public const val SLOTS: Int = 1024
     public const val FENCED: Boolean = true
--- a/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationDiff.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationDiff.kt
@@ -41,6 +41,7 @@
             },
             after.customers.associateBy { it.name.value },
         ),
+        compare("customers' keys", keyRequirement(before), keyRequirement(after)),
         compare("entry VMs", vmCount(before), vmCount(after)),
         compare(
             "zone out",
@@ -61,6 +62,9 @@
     private fun upstreams(declaration: Declaration?): Map<String, Upstream> =
         declaration?.pools.orEmpty().flatMap { it.upstreams }.associateBy { it.id.value }
 
+    private fun keyRequirement(declaration: Declaration?): Map<String, Boolean> =
+        declaration?.let { mapOf("required" to it.requiresCustomerKey) }.orEmpty()
+
     private fun vmCount(declaration: Declaration?): Map<String, Int> =
         declaration?.let { mapOf("count" to it.entryVms) }.orEmpty()
 
--- a/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationWriter.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/DeclarationWriter.kt
@@ -31,6 +31,7 @@
             customers = declaration.customers.map(::customer),
             zonesOut = declaration.zonesOut.map { it.value },
             upstreamsOut = declaration.upstreamsOut.map { it.value },
+            requiresCustomerKey = declaration.requiresCustomerKey,
         ),
     )
 
@@ -73,6 +74,7 @@
         val customers: List<CustomerYaml>,
         val zonesOut: List<String>,
         val upstreamsOut: List<String>,
+        val requiresCustomerKey: Boolean,
     )
 
     private data class PoolYaml(
--- a/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/YamlDeclarationReader.kt
+++ b/cicadagauge-config/src/main/kotlin/cicadagauge/declaration/YamlDeclarationReader.kt
@@ -80,6 +80,8 @@
             .mapNotNull { (node, name) -> findDeclared(node, "availability zone", name, AvailabilityZone(name), zones) }
         val upstreamsOut = fields.texts("upstreamsOut", required = false)
             .mapNotNull { (node, name) -> findDeclared(node, "upstream", name, UpstreamId(name), upstreams) }
+        val requiresCustomerKey =
+            fields.boolean("requiresCustomerKey", DeclarationDefaults.REQUIRES_CUSTOMER_KEY)
         fields.reportUnknownFields()
         return Declaration(
             zones = zones,
@@ -89,6 +91,7 @@
             entryVms = entryVms ?: DeclarationDefaults.ENTRY_VMS,
             zonesOut = zonesOut.toSet(),
             upstreamsOut = upstreamsOut.toSet(),
+            requiresCustomerKey = requiresCustomerKey,
         )
     }
 
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/declaration/YamlDeclarationReaderTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/declaration/YamlDeclarationReaderTest.kt
@@ -36,6 +36,12 @@
             reader.read(DeclarationWriter.write(requireNotNull(declaration))).getOrNull() shouldBe declaration
         }
 
+        test("a declaration that requires no keys is unchanged after writing and reading it") {
+            val declaration = reader.read("requiresCustomerKey: false\n$VALID_DECLARATION").getOrNull()
+            declaration?.requiresCustomerKey shouldBe false
+            reader.read(DeclarationWriter.write(requireNotNull(declaration))).getOrNull() shouldBe declaration
+        }
+
         test("each kind of error is reported with its line") {
             val cases = listOf(
                 Case(1, "zones: [north, north]", "declared twice"),
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
@@ -33,11 +33,13 @@
 ) {
     private var routes: RouteTable? = null
     private var authenticator: Authenticator? = null
+    private var requiresCustomerKey = true
 
     /** Applies the routes and customers of [declaration]. */
     fun configure(declaration: Declaration) {
         routes = RouteTable(declaration)
         authenticator = Authenticator(declaration)
+        requiresCustomerKey = declaration.requiresCustomerKey
     }
 
     /** Handles a newly arrived request: refuses it, or passes it to the dispatcher now or later. */
@@ -54,13 +56,14 @@
 
     private fun routeFound(id: RequestId, head: RequestHead, match: RouteMatch.Found, now: Moment) {
         val route = match.route
-        val customer = if (route.open) null else customerOf(head)
+        val isOpen = route.open || !requiresCustomerKey
+        val customer = if (isOpen) null else customerOf(head)
         val requestClass = customer?.requestClass ?: route.requestClass
         effects.add(Effect.Classify(id, customer?.name, requestClass))
         val key = match.extractor?.extract(head)
         val slot = key?.let { slotOf(match.pool, it) }
         val limit = head.deadline ?: route.deadline
-        val refusal = refusalFor(match, customer, key, slot, limit)
+        val refusal = refusalFor(match, isOpen || customer != null, key, slot, limit)
         if (refusal != null) return effects.add(Effect.Refuse(id, refusal))
         if (head.readLag >= limit) return refuse(id, Reason.DeadlineBeforeRun, "the process could not read it in time")
         val request = PendingRequest(
@@ -81,12 +84,12 @@
 
     private fun refusalFor(
         match: RouteMatch.Found,
-        customer: Customer?,
+        isAllowed: Boolean,
         key: String?,
         slot: Slot?,
         limit: Duration,
     ): Refusal? = when {
-        !match.route.open && customer == null -> Refusal(Reason.Unauthenticated, "a valid key is needed")
+        !isAllowed -> Refusal(Reason.Unauthenticated, "a valid key is needed")
         match.extractor != null && key == null -> Refusal(Reason.MissingKey, "the route's key is missing")
         limit <= Duration.ZERO ->
             Refusal(Reason.BadDeadline, "the deadline must be a positive number of milliseconds")
