Homes: in a large fleet, ping only those that leave a request unanswered

Callers on 80 VMs waited for processor time: each VM pinged every home that it had used within 5 s and not heard from for 50 ms, and with keys spread over 142 upstreams nearly every VM is such a home, up to a thousand pings a second and VM.

Beyond 16 homes in use, only those are pinged that have left a request unanswered for 100 ms. Smaller fleets are watched as before.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -150,6 +150,7 @@
         now: Moment,
     ) {
         request.state = PendingRequest.State.Idle
+        homeMonitor.recordRelayEnd(state.home, now)
         when (outcome) {
             is AttemptOutcome.Answered -> {
                 vms.recordContact(state.home, now)
@@ -202,6 +203,7 @@
     fun callerLeft(id: RequestId, now: Moment) {
         val request = requests.remove(id) ?: return
         waiting -= request
+        (request.state as? PendingRequest.State.Relayed)?.let { homeMonitor.recordRelayEnd(it.home, now) }
         withdraw(request, now)
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -197,6 +197,9 @@
  * is requested again.
  * @property homePingInterval Interval at which home VMs in use are checked; one not heard from for that long is pinged.
  * @property homePingTimeout How long a home VM may leave pings unanswered before it is suspected.
+ * @property maxPingedHomes With more home VMs in use, only those are pinged that have left a relayed request unanswered
+ * for [homePatience].
+ * @property homePatience See [maxPingedHomes].
  * @property homeSuspicion How long a suspected home VM ranks last. It is also how long a home VM keeps a permit past
  * the deadline of its request.
  * @property backoff Delay before the first retry, and pause of an upstream after its first failed attempt; doubled with
@@ -223,6 +226,8 @@
     val homeAnswerTimeout: Duration = 40.milliseconds,
     val homePingInterval: Duration = 50.milliseconds,
     val homePingTimeout: Duration = 200.milliseconds,
+    val maxPingedHomes: Int = 16,
+    val homePatience: Duration = 100.milliseconds,
     val homeSuspicion: Duration = 1.seconds,
     val backoff: Duration = 20.milliseconds,
     val maxBackoff: Duration = 160.milliseconds,
