VMs: work for others goes by the processor capacity that a VM's own callers leave

Homes, duties and coordinators were spread evenly over VMs of 0.3 and 1.5 cores. The platform balances callers without regard to size, so that a small VM has little left, and every request relayed through it waited.

VMs of equal capacity take equal parts, as before.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/membership/Vm.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/membership/Vm.kt
@@ -12,6 +12,8 @@
  * @property callers address to which other VMs relay requests: the address for callers, unless the VM has a separate
  * one for relays.
  * @property leaving whether the platform is about to remove it.
+ * @property capacity processor capacity in cores. VMs take on work for others in proportion to what their own callers
+ * leave of it.
  */
 @Serializable
 public data class Vm(
@@ -20,4 +22,10 @@
     val callers: Address,
     val zone: AvailabilityZone,
     val leaving: Boolean = false,
-)
+    val capacity: Double = DEFAULT_CAPACITY,
+) {
+    public companion object {
+        /** The capacity of a VM that states none, in cores. */
+        public const val DEFAULT_CAPACITY: Double = 1.0
+    }
+}
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
@@ -11,6 +11,7 @@
 import cicadagauge.node.Effects
 import cicadagauge.peer.PeerMessage
 import com.dynatrace.hash4j.hashing.Hashing
+import kotlin.math.ln
 import kotlin.time.Duration
 
 /**
@@ -132,14 +133,14 @@
                 { ranksLast(it) },
                 { needsUpstreams && it.id in cutOffUntil },
                 { zone != null && it.zone != zone },
-                { score(duty, it.id) },
+                { score(duty, it) },
             )
             all.minWithOrNull(order) ?: return null
         }
 
     /** The VMs in the order in which they are responsible for [duty]; leaving and suspected ones rank last. */
     fun ranked(duty: String): List<Vm> = rankings.getOrPut(duty) {
-        val scored = all.map { Ranked(it, ranksLast(it), score(duty, it.id)) }
+        val scored = all.map { Ranked(it, ranksLast(it), score(duty, it)) }
         scored.sortedWith(compareBy({ it.ranksLast }, { it.score })).map { it.vm }
     }
 
@@ -206,11 +207,29 @@
         responsibleVms.clear()
     }
 
-    private fun score(duty: String, vm: VmId): Long = Hashing.xxh3_64().hashCharsToLong("$duty|${vm.value}")
+    /** Weighted rendezvous hashing: the lowest score wins, with a probability in proportion to the VM's weight. */
+    private fun score(duty: String, vm: Vm): Double {
+        val hash = Hashing.xxh3_64().hashCharsToLong("$duty|${vm.id.value}")
+        val uniform = ((hash ushr HASH_SHIFT) + HALF) / (1L shl HASH_BITS)
+        return -ln(uniform) / weightOf(vm)
+    }
+
+    /** Callers are spread over the VMs without regard to size, so that the smallest have little left for others. */
+    private fun weightOf(vm: Vm): Double =
+        maxOf(vm.capacity - OWN_CALLERS_CAPACITY, vm.capacity * MIN_SPARE_FRACTION, MIN_WEIGHT)
 
     private companion object {
+        /** The fraction of a 64-bit hash that a double holds exactly. */
+        const val HASH_BITS = 52
+        const val HASH_SHIFT = 64 - HASH_BITS
+        const val HALF = 0.5
+
+        /** What a VM's own callers take of its processor, in cores. */
+        const val OWN_CALLERS_CAPACITY = 0.25
+        const val MIN_SPARE_FRACTION = 0.1
+        const val MIN_WEIGHT = 1e-3
         const val MAX_REMEMBERED_VMS = 50_000
     }
 
-    private class Ranked(val vm: Vm, val ranksLast: Boolean, val score: Long)
+    private class Ranked(val vm: Vm, val ranksLast: Boolean, val score: Double)
 }
