Peers: short answers travel in the response to the message that caused them

Each pong, reply about budgets and answer to a digest was an HTTP call of its own in the other direction, which doubled the calls between VMs. They now travel in the response, named and authenticated like a call: the process that responds may be a later one at the address. Long ones go as compressed calls, as before. PeerSenderTest covers attribution, the secret and the length.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -45,11 +45,14 @@
     }
     private val registry =
         RequestRegistry(driver, connections, metrics, settings.secret, environment.dialect, log, loopMonitor, loop)
-    private val client = JsonHttpClient(loop, JsonHttpClient.authFields(settings.secret, settings.node.vm.value))
-    private val peers = PeerSender(client, settings.platform.peerCallTimeout)
+    private val identity = JsonHttpClient.authFields(settings.secret, settings.node.vm.value)
+    private val client = JsonHttpClient(loop, identity)
+    private val peers = PeerSender(client, settings.platform.peerCallTimeout, identity, log) { from, messages ->
+        messages.forEach { driver.submit(Event.PeerMessageReceived(from, it)) }
+    }
     private val platformClient = environment.connect(loop, driver::submit)
     private val storeCalls = StoreCalls(platformClient, driver::submit)
-    private val handler = ControlHandler(DeploymentSecret(settings.secret), driver, ::status, metrics)
+    private val handler = ControlHandler(DeploymentSecret(settings.secret), driver, ::status, metrics, peers)
     private val control = JsonHttpServer(group, settings.control, handler)
     private val readiness = settings.readiness?.let { JsonHttpServer(group, it, handler::handlePublic) }
     private val callers = DefaultChannelGroup(loop)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/ControlHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/ControlHandler.kt
@@ -17,6 +17,7 @@
     private val driver: NodeDriver,
     private val status: () -> NodeStatus,
     private val metrics: GatewayMetrics,
+    private val peers: PeerSender,
 ) : JsonHandler {
     override fun handle(request: JsonRequest, answer: (JsonResponse?) -> Unit) {
         answer(answerTo(request))
@@ -45,8 +46,9 @@
         val from = request.header(ProtocolHeaders.VM)
         if (!isAuthenticated(request) || from == null) return JsonResponse(FORBIDDEN)
         val messages = MessageJson.read(request.body).getOrElse { return JsonResponse(BAD_REQUEST) }
-        messages.forEach { driver.submit(Event.PeerMessageReceived(VmId(from), it)) }
-        return JsonResponse(NO_CONTENT)
+        val sender = VmId(from)
+        val reply = peers.replyTo(sender) { messages.forEach { driver.submit(Event.PeerMessageReceived(sender, it)) } }
+        return if (reply == null) JsonResponse(NO_CONTENT) else JsonResponse(OK, reply, headers = peers.identity)
     }
 
     private fun isAuthenticated(request: JsonRequest): Boolean = secret.matches(request.header(ProtocolHeaders.SECRET))
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpServer.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpServer.kt
@@ -44,6 +44,7 @@
     public val status: Int,
     public val body: ByteArray = ByteArray(0),
     public val contentType: String = "application/json",
+    public val headers: Map<String, String> = emptyMap(),
 )
 
 /** Handles requests and passes each response to `answer`, at once or later; null closes the connection instead. */
@@ -113,6 +114,7 @@
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(response.body))
             httpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, response.contentType)
             httpResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.body.size)
+            response.headers.forEach { (name, value) -> httpResponse.headers().set(name, value) }
             HttpUtil.setKeepAlive(httpResponse, keepAlive)
             val written = context.writeAndFlush(httpResponse)
             if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/PeerSender.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/PeerSender.kt
@@ -1,5 +1,8 @@
 package cicadagauge.gateway.control
 
+import cicadagauge.gateway.DeploymentSecret
+import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.gateway.log.EventLog
 import cicadagauge.identity.Address
 import cicadagauge.identity.VmId
 import cicadagauge.peer.PeerMessage
@@ -8,16 +11,54 @@
 import java.util.zip.GZIPOutputStream
 import kotlin.time.Duration
 
+/** Receives the messages with which a peer answers. */
+internal fun interface PeerReplyListener {
+    /** [messages] have arrived from [from]. */
+    fun replied(from: VmId, messages: List<PeerMessage>)
+}
+
 /**
  * Sends messages to peers. While [MAX_CALLS_IN_FLIGHT] calls to a peer are open, further messages to it are queued and
  * sent as one batch, so that the number of calls grows more slowly than that of messages. Messages that can't be
  * delivered are dropped, and the oldest ones when a queue is full.
+ *
+ * Short messages that answer a call at once travel in its response, which carries [identity] like a call. The process
+ * that responds may be a later one at the same address, so its own id counts, not that of the VM that was called.
  */
-internal class PeerSender(private val client: JsonHttpClient, private val timeout: Duration) {
+internal class PeerSender(
+    private val client: JsonHttpClient,
+    private val timeout: Duration,
+    val identity: Map<String, String>,
+    private val log: EventLog,
+    private val replies: PeerReplyListener,
+) {
     private val queues = HashMap<VmId, PeerQueue>()
+    private val secret = DeploymentSecret(identity.getValue(ProtocolHeaders.SECRET))
+    private var openReply: OpenReply? = null
 
     /** Sends [message] to [to]. */
     fun send(to: VmId, address: Address, message: PeerMessage) {
+        val reply = openReply?.takeIf { it.to == to }
+        if (reply != null) reply.add(address, message) else enqueue(to, address, message)
+    }
+
+    /** Runs [action], and returns the messages to [to] that it sends as the response to a call, or null if none. */
+    fun replyTo(to: VmId, action: () -> Unit): ByteArray? {
+        val reply = OpenReply(to)
+        openReply = reply
+        try {
+            action()
+        } finally {
+            openReply = null
+        }
+        val address = reply.address ?: return null
+        val json = MessageJson.write(reply.messages)
+        if (json.size < COMPRESSION_THRESHOLD_BYTES) return json
+        reply.messages.forEach { enqueue(to, address, it) }
+        return null
+    }
+
+    private fun enqueue(to: VmId, address: Address, message: PeerMessage) {
         val queue = queues.getOrPut(to) { PeerQueue() }
         queue.address = address
         if (queue.waiting.size >= MAX_QUEUED_MESSAGES) queue.waiting.removeFirst()
@@ -25,6 +66,29 @@
         queue.flush()
     }
 
+    private fun receive(result: CallResult) {
+        if (result !is CallResult.Answered || !result.isSuccess || result.body.isEmpty()) return
+        val from = result.header(ProtocolHeaders.VM)
+        val messages = MessageJson.read(result.body).getOrNull()
+        if (from == null || messages == null || !secret.matches(result.header(ProtocolHeaders.SECRET))) {
+            return log.write("peer-reply-unreadable", "bytes" to result.body.size)
+        }
+        replies.replied(VmId(from), messages)
+    }
+
+    /** The messages to [to] that are to travel in the response to its call. */
+    private class OpenReply(val to: VmId) {
+        val messages = ArrayList<PeerMessage>()
+
+        var address: Address? = null
+            private set
+
+        fun add(address: Address, message: PeerMessage) {
+            this.address = address
+            messages += message
+        }
+    }
+
     private inner class PeerQueue {
         val waiting = ArrayDeque<PeerMessage>()
         lateinit var address: Address
@@ -35,9 +99,9 @@
             val batch = ArrayList(waiting)
             waiting.clear()
             callsInFlight++
-            val call = callOf(MessageJson.write(batch))
-            client.call(call) {
+            client.exchange(callOf(MessageJson.write(batch))) { result ->
                 callsInFlight--
+                receive(result)
                 flush()
             }
         }
