Scheduling: durations known from the first answer on, no permits unused at the start

Cause: a home that had seen few requests expected 5 ms for each where upstreams take 90 to 470 ms, allowed one request at a time and a quarter more per answer, counted an upstream's slowness twice (measured durations contain it) and took the slowness of a moment for that of a long wait. Requests waited for room that did not exist, permits stayed unused.

Change: the concurrency limit starts at the declared one, except for cold upstreams. Before an upstream's first answer the pool's other durations count, and the time that its requests have been running. The first answers weigh equally. ServiceForecast, a value, tells waits: present slowness for 300 ms, the average after that.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
@@ -25,7 +25,6 @@
 import cicadagauge.routing.OwnerDirectory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * A request for a permit to run at an upstream.
@@ -72,6 +71,7 @@
     private val coldUntil: (UpstreamId) -> Moment = { Moment.PAST },
 ) {
     private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
+    private val poolDurations = DurationAverage()
     private val usable = HashSet<UpstreamId>()
     private val outOfService = OutOfServiceTimes(settings)
     private val queues = HashMap<Target, FairQueue<Reservation>>()
@@ -91,7 +91,7 @@
             // What is known about the load of an upstream does not apply to a new process.
             if (loads[upstream.id]?.upstream?.run != upstream.run) loads -= upstream.id
             loads.getOrPut(upstream.id) {
-                UpstreamLoad(upstream, newPool.concurrency, settings)
+                UpstreamLoad(upstream, upstream.concurrency ?: newPool.concurrency, settings, poolDurations)
             }.reconfigure(upstream.concurrency ?: newPool.concurrency, newPool.coldStart, coldUntil(upstream.id), now)
         }
         usable.clear()
@@ -172,7 +172,9 @@
     fun takeLoadReport(): PeerMessage.Heat? {
         if (requestsPerBucket.isEmpty()) return null
         val buckets = requestsPerBucket.map { (index, requests) -> HeatBucket(index, requests) }
-        val times = loads.values.filter { it.isMeasured }.map { UpstreamTime(it.upstream.id, it.averageDuration) }
+        val times = loads.values.mapNotNull { load ->
+            load.measuredDuration?.let { UpstreamTime(load.upstream.id, it) }
+        }
         requestsPerBucket.clear()
         return PeerMessage.Heat(pool.name, buckets, times)
     }
@@ -269,7 +271,7 @@
         if (reservation.maySpill && wait > settings.spillWait) {
             return Refusal(Reason.Overloaded, "another zone may be sooner", wait)
         }
-        if (now + wait + averageDurationAt(target) * MIN_RUN_FRACTION <= reservation.deadline) return null
+        if (now + wait + averageDurationAt(target, now) * MIN_RUN_FRACTION <= reservation.deadline) return null
         return Refusal(Reason.Overloaded, "the queue is longer than the deadline", wait)
     }
 
@@ -280,24 +282,16 @@
         now: Moment,
     ): Duration = waitEstimator(target, now)(queue.countAhead(reservation.requestClass, reservation.customer))
 
-    /**
-     * Returns a function that estimates the wait at [target] from the number of requests ahead. If no permit is free, a
-     * running request has to end first.
-     */
+    /** Returns a function that estimates the wait at [target] from the number of requests ahead. */
     private fun waitEstimator(target: Target, now: Moment): (ahead: Int) -> Duration {
         val serving = upstreamsOf(target)
         if (serving.isEmpty()) return { Duration.ZERO }
-        val isFree = serving.any { it.hasCapacity(now) }
-        val pause = serving.minOf { it.remainingPause(now) }
-        val rate = serving.sumOf { it.expectedRate(now) }
-        return { ahead ->
-            if (ahead == 0 && isFree) Duration.ZERO else pause + ((ahead + MEAN_COMPLETION_FRACTION) / rate).seconds
-        }
+        return ServiceForecast.of(serving, now)::waitBehind
     }
 
     /** Denies the requests that can no longer be answered in time, because too many others have overtaken them. */
     private fun denyUnservable(target: Target, queue: FairQueue<Reservation>, now: Moment) {
-        val run = averageDurationAt(target) * MIN_RUN_FRACTION
+        val run = averageDurationAt(target, now) * MIN_RUN_FRACTION
         val wait = waitEstimator(target, now)
         val unservable = queue.removeByPosition { reservation, ahead ->
             now + wait(ahead) + run > reservation.deadline + DENIAL_MARGIN
@@ -310,17 +304,17 @@
         target.zone?.let(::usableIn) ?: listOfNotNull(loads[target.owner])
 
     /** The average duration of a request at [target]. */
-    private fun averageDurationAt(target: Target): Duration {
+    private fun averageDurationAt(target: Target, now: Moment): Duration {
         val serving = upstreamsOf(target)
         if (serving.isEmpty()) return Duration.ZERO
-        return serving.fold(Duration.ZERO) { sum, load -> sum + load.averageDuration } / serving.size
+        return serving.fold(Duration.ZERO) { sum, load -> sum + load.averageDuration(now) } / serving.size
     }
 
     /** Removes and returns the next request that can still be answered in time; denies those before it. */
     private fun pollServable(queue: FairQueue<Reservation>, load: UpstreamLoad, now: Moment): Reservation? {
         while (true) {
             val reservation = queue.poll() ?: return null
-            if (now + load.averageDuration * MIN_RUN_FRACTION <= reservation.deadline) return reservation
+            if (now + load.averageDuration(now) * MIN_RUN_FRACTION <= reservation.deadline) return reservation
             deny(reservation, DEADLINE_BEFORE_RUN, now)
         }
     }
@@ -337,9 +331,6 @@
         const val MIN_RUN_FRACTION = 0.7
         val RETRY_AFTER: Duration = 200.milliseconds
 
-        /** With all permits taken, the first is free after half the interval between two completions on average. */
-        const val MEAN_COMPLETION_FRACTION = 0.5
-
         /** A queued request is not denied when the estimate exceeds its deadline only slightly. */
         val DENIAL_MARGIN: Duration = 30.milliseconds
         val NO_CURRENT_OWNER = Target(owner = null)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/UpstreamLoad.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/UpstreamLoad.kt
@@ -12,18 +12,21 @@
 
 /**
  * The load of one [upstream], as its home VM knows it from the attempts that it permitted: the requests in flight, an
- * adaptive concurrency limit and the average duration of an attempt.
+ * adaptive concurrency limit and the average duration of an attempt. Before the first answer the durations at the
+ * pool's other upstreams, [poolDurations], are used instead.
  *
- * The limit grows with served requests up to [maxConcurrency], the declared concurrency. It is halved when the upstream
- * is busy and falls to one when an attempt fails. A broken connection counts as a failure of the upstream only if the
- * upstream has answered nothing since the attempt began; otherwise only that connection is at fault.
+ * The limit starts at [maxConcurrency], the declared concurrency; that of a cold upstream starts at one. It is halved
+ * when the upstream is busy, falls to one when an attempt fails, and grows again with served requests. A broken
+ * connection counts as a failure of the upstream only if the upstream has answered nothing since the attempt began;
+ * otherwise only that connection is at fault.
  */
 internal class UpstreamLoad(
     val upstream: Upstream,
     private var maxConcurrency: Int,
     private val settings: DispatchSettings,
+    private val poolDurations: DurationAverage = DurationAverage(),
 ) {
-    private var concurrencyLimit = 1.0
+    private var concurrencyLimit = maxConcurrency.toDouble()
     private var consecutiveFailures = 0
     private var pausedUntil = Moment.PAST
     private var lastServed = Moment.PAST
@@ -32,6 +35,10 @@
     /** The last reported slowness: how many times longer than usual work takes on the upstream's host. */
     private var slowness = 1.0
     private var slownessAt = Moment.PAST
+
+    /** The moving average of the reported slowness; the measured durations contain it. */
+    private var averageSlowness = 1.0
+    private val durations = DurationAverage()
     private var coldUntil = Moment.PAST
     private var coldBucket: TokenBucket? = null
 
@@ -39,12 +46,10 @@
     var running = 0
         private set
 
-    /** The moving average of the duration of an attempt. */
-    var averageDuration: Duration = INITIAL_DURATION
-        private set
+    /** The moving average of the duration of an attempt, or null if the upstream has not answered any. */
+    val measuredDuration: Duration? get() = durations.value
 
-    /** Whether [averageDuration] has been measured, rather than being the initial estimate. */
-    val isMeasured: Boolean get() = lastServed > Moment.PAST
+    private val usualDuration: Duration get() = measuredDuration ?: poolDurations.value ?: INITIAL_DURATION
 
     /** The number of requests that may run at the upstream at present. */
     val currentLimit: Int get() = if (consecutiveFailures > 0) 1 else concurrencyLimit.toInt()
@@ -63,26 +68,45 @@
     fun isStalled(now: Moment): Boolean {
         val since = maxOf(busySince, lastServed)
         return running >= minOf(maxConcurrency, MIN_STALLED_REQUESTS) &&
-            now - since > maxOf(settings.stallTimeout, averageDuration * STALL_FACTOR)
+            now - since > maxOf(settings.stallTimeout, usualDuration * STALL_FACTOR)
+    }
+
+    /**
+     * The average duration of an attempt. Before the upstream's first answer it is an estimate, and at least as long as
+     * the upstream has been running requests without an answer.
+     */
+    fun averageDuration(now: Moment): Duration {
+        measuredDuration?.let { return it }
+        val unanswered = if (running > 0) now - busySince else Duration.ZERO
+        return maxOf(usualDuration, unanswered)
     }
 
     /**
      * The expected duration of a request that starts at [now]. It grows with the share of permits in use, and with the
      * slowness that the upstream last reported of its host, which is ignored once it is out of date.
      */
-    fun expectedDuration(now: Moment): Duration {
-        val isFresh = slownessAt + MAX_SLOWNESS_AGE > now
-        val currentSlowness = if (isFresh) maxOf(1.0, slowness) else 1.0
-        return averageDuration * currentSlowness * (1.0 + CONTENTION_FACTOR * running / currentLimit)
-    }
+    fun expectedDuration(now: Moment): Duration =
+        averageDuration(now) * relativeSlowness(now) * (1.0 + CONTENTION_FACTOR * running / currentLimit)
+
+    /** The expected throughput in requests per second, with the host as slow as it is at [now]. */
+    fun expectedRate(now: Moment): Double = averageRate(now, relativeSlowness(now))
 
-    /** The expected throughput in requests per second; while the upstream is cold, at most the cold-start rate. */
-    fun expectedRate(now: Moment): Double {
-        val limitedRate = currentLimit / expectedDuration(now).toDouble(DurationUnit.SECONDS)
+    /**
+     * The average throughput in requests per second where requests take [slowness] times the average duration. While
+     * the upstream is cold, it is at most the cold-start rate.
+     */
+    fun averageRate(now: Moment, slowness: Double = 1.0): Double {
+        val limitedRate = currentLimit / (averageDuration(now) * slowness).toDouble(DurationUnit.SECONDS)
         val cold = coldBucket ?: return limitedRate
         return if (now < coldUntil) minOf(limitedRate, cold.rate) else limitedRate
     }
 
+    /** How many times longer than average a request takes at present. */
+    private fun relativeSlowness(now: Moment): Double {
+        val isFresh = slownessAt + MAX_SLOWNESS_AGE > now
+        return if (isFresh) maxOf(1.0, slowness) / averageSlowness else 1.0
+    }
+
     /** The time that remains of the pause after an attempt that failed, was refused or found the upstream busy. */
     fun remainingPause(now: Moment): Duration = maxOf(Duration.ZERO, pausedUntil - now)
 
@@ -100,6 +124,7 @@
         running = maxOf(0, running - 1)
         if (slowness != null) {
             this.slowness = slowness
+            averageSlowness += (maxOf(1.0, slowness) - averageSlowness) * SLOWNESS_SMOOTHING_FACTOR
             slownessAt = now
         }
         when (result) {
@@ -122,6 +147,7 @@
         concurrencyLimit = minOf(concurrencyLimit, newMaxConcurrency.toDouble())
         if (newColdUntil == coldUntil) return
         coldUntil = newColdUntil
+        if (now < coldUntil) concurrencyLimit = 1.0
         coldBucket = coldStart?.let {
             TokenBucket(it.ratePerSecond * COLD_RATE_FRACTION, capacity = COLD_BURST_REQUESTS, since = now)
         }
@@ -134,8 +160,8 @@
 
     private fun recordServed(duration: Duration) {
         consecutiveFailures = 0
-        averageDuration =
-            if (isMeasured) averageDuration * (1 - SMOOTHING_FACTOR) + duration * SMOOTHING_FACTOR else duration
+        durations.record(duration)
+        poolDurations.record(duration)
         concurrencyLimit = minOf(maxConcurrency.toDouble(), concurrencyLimit + LIMIT_INCREASE / concurrencyLimit)
     }
 
@@ -166,8 +192,8 @@
         const val CONTENTION_FACTOR = 0.3
         val MAX_SLOWNESS_AGE = 300.milliseconds
 
-        /** The weight of the latest duration in the moving average. */
-        const val SMOOTHING_FACTOR = 0.1
+        /** The weight of the latest report in the average slowness. */
+        const val SLOWNESS_SMOOTHING_FACTOR = 0.1
 
         /** The increase of the concurrency limit for about as many served requests as the limit. */
         const val LIMIT_INCREASE = 0.25
