--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/control/PeerSenderTest.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/control/PeerSenderTest.kt
@@ -21,14 +21,13 @@
 
 private const val SECRET = "secret"
 
-private fun peerSender(loop: EventLoop, onReply: PeerReplyListener = PeerReplyListener { _, _ -> }) =
-    PeerSender(
-        client = JsonHttpClient(loop, emptyMap()),
-        timeout = 1.minutes,
-        identity = JsonHttpClient.authFields(SECRET, "self"),
-        log = EventLog(VmId("self")) { MonotonicClock.now() },
-        replies = onReply,
-    )
+private fun peerSender(loop: EventLoop, replies: PeerReplyListener = PeerReplyListener { _, _ -> }) = PeerSender(
+    client = JsonHttpClient(loop, emptyMap()),
+    timeout = 1.minutes,
+    identity = JsonHttpClient.authFields(SECRET, "self"),
+    log = EventLog(VmId("self")) { MonotonicClock.now() },
+    replies = replies,
+)
 
 /** The length of the body that is sent for [message], before decompression. */
 private fun lengthOnTheWire(message: PeerMessage): Int {
