Keyed pools by load: keys move where that saves callers more waiting than it costs

Cause: the planner moved ranges whenever two utilizations differed by 0.35, at most two a plan, from the one busiest upstream (none at all if that one's ranges were moving), whole stretches of cold keys with the hot ones, and by an average of durations that follows every moment in which an upstream is slow.

Change: each candidate move (from the three owners with the most work waiting to the three least utilized, the lower, upper or densest part of a range) is weighed by the waiting that it is expected to save while the load lasts, with rates taken as uncertain, less what it costs the moved keys. One move for four upstreams a plan. Service times are averaged over 3 s. Log line load-balanced. Settings: RangeSettings.balance.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -31,6 +31,13 @@
     /** The owners of the slots of [pool] changed; [moved] is the number of slots that have another owner. */
     public data class OwnersChanged(val pool: PoolName, val version: RecordVersion, val moved: Int) : StateChange
 
+    /**
+     * [version] of the owners of the slots of [pool] moves some for the sake of load, which is expected to save callers
+     * [expectedSaving] of waiting, all requests together, beyond what the moves cost them.
+     */
+    public data class LoadBalanced(val pool: PoolName, val version: RecordVersion, val expectedSaving: Duration) :
+        StateChange
+
     /** [upstream] has seen a higher fence than [fence], which this VM sent as the allocator of [pool]. */
     public data class FenceRefused(val pool: PoolName, val upstream: UpstreamId, val fence: RecordVersion) : StateChange
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -103,6 +103,7 @@
  * @property storelessRenewal How long an allocator may go on renewing grants without an answer from the store.
  * @property upstreamDrift How much an upstream's clock may differ in speed from a VM's, as a fraction of the time
  * measured.
+ * @property balance When ranges move for the sake of load.
  */
 public data class RangeSettings(
     val grantLifetime: Duration = 1_700.milliseconds,
@@ -121,6 +122,31 @@
     val minUrgentPlanInterval: Duration = 50.milliseconds,
     val storelessRenewal: Duration = 15.seconds,
     val upstreamDrift: Double = 0.02,
+    val balance: BalanceSettings = BalanceSettings(),
+)
+
+/**
+ * When a range, or a part of it, moves to a less utilized upstream: when the waiting that callers are expected to save
+ * is worth more than what the move costs them.
+ *
+ * @property loadDuration How long a load is expected to last, and thus for how long a move saves waiting. With zero,
+ * ranges move only to upstreams that own none and away from those that are lost.
+ * @property movedRequestDelay Cost of a move for each request per second to the moved slots: how long these requests
+ * are held up, together, until the new owner serves them at its usual speed.
+ * @property wholeMoveCost Waiting, of all requests together, that moving all slots of a pool must save to be worth it;
+ * a part of them costs its share.
+ * @property upstreamsPerMove One plan makes one such move for this number of upstreams, and at least two.
+ * @property heatTimeConstant Time constant with which counted requests are forgotten.
+ * @property serviceTimeConstant Time constant of the average of an upstream's service time; longer than the moments for
+ * which an upstream is slow because of its neighbours.
+ */
+public data class BalanceSettings(
+    val loadDuration: Duration = 4.seconds,
+    val movedRequestDelay: Duration = 50.milliseconds,
+    val wholeMoveCost: Duration = 200.seconds,
+    val upstreamsPerMove: Int = 4,
+    val heatTimeConstant: Duration = 1_500.milliseconds,
+    val serviceTimeConstant: Duration = 3.seconds,
 )
 
 /**
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
@@ -43,8 +43,8 @@
     // An upper bound, on this VM's clock, of the time from sending a grant until its hold has expired.
     private val maxGrantTime = maxHold + times.grantTimeout
 
-    private val heat = RangeHeat(pool.slots, start)
-    private val planner = RangePlanner(pool.slots, heat)
+    private val heat = RangeHeat(pool.slots, start, times.balance)
+    private val planner = RangePlanner(pool.slots, heat, times.balance)
     private val suspected = SuspectedOwners(pool.name, orders, times)
     private var record = initial
     private var rangeStates = emptyList<RangeState>()
@@ -252,7 +252,11 @@
                 isMovable = state.range.isServed && mayMove(state, now),
             )
         }
-        return planner.plan(current, healthy).map { toOwnedRange(it, version, healthy, now) }
+        val planned = planner.plan(current, healthy)
+        if (planner.expectedSaving > Duration.ZERO) {
+            effects.add(Effect.StateChanged(StateChange.LoadBalanced(pool.name, version, planner.expectedSaving)))
+        }
+        return planned.map { toOwnedRange(it, version, healthy, now) }
     }
 
     /** Like [RangeState.mayMove]; all ranges of a suspected owner wait until it can't hold them any more. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangePlanner.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangePlanner.kt
@@ -1,13 +1,15 @@
 /*
  * Decides which upstream should own which slots of a pool that is placed by ranges. As few ranges as possible move: an
  * owner that is still usable keeps its ranges, those of other owners go to the least utilized upstreams, an upstream
- * that owns nothing takes half of the busiest range, and an overloaded owner gives a part of a range away.
+ * that owns nothing takes a part of the busiest range, and a part of a range moves for the sake of load where that
+ * saves callers more waiting than it costs them. See docs/design/even-load.md.
  */
 package cicadagauge.ownership
 
 import cicadagauge.declaration.Upstream
 import cicadagauge.identity.UpstreamId
-import kotlin.math.abs
+import cicadagauge.node.BalanceSettings
+import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
 /**
@@ -19,13 +21,21 @@
 internal data class PlannedRange(val slots: SlotRange, val owner: UpstreamId?, val isMovable: Boolean = true)
 
 /** Plans the ranges of one pool of [slots] slots by their request rates, [heat]. */
-internal class RangePlanner(private val slots: Int, private val heat: RangeHeat) {
+internal class RangePlanner(
+    private val slots: Int,
+    private val heat: RangeHeat,
+    private val settings: BalanceSettings = BalanceSettings(),
+) {
+    /** The waiting that the last plan's moves for the sake of load are expected to save all callers together. */
+    var expectedSaving: Duration = Duration.ZERO
+        private set
+
     /** The ranges that the [usable] upstreams should own. The [current] ranges must cover all slots, or be empty. */
     fun plan(current: List<PlannedRange>, usable: List<Upstream>): List<PlannedRange> {
+        expectedSaving = Duration.ZERO
         if (usable.isEmpty()) return current
         if (current.isEmpty()) return splitEvenly(usable.map { it.id })
-        val owned = addOwners(assignOrphans(current, usable), usable)
-        return (1..MAX_MOVES).fold(owned) { ranges, _ -> balance(ranges, usable) }
+        return balance(addOwners(assignOrphans(current, usable), usable), usable)
     }
 
     private fun splitEvenly(owners: List<UpstreamId>): List<PlannedRange> = owners.mapIndexed { index, owner ->
@@ -45,42 +55,60 @@
         }
     }
 
-    /** Gives each upstream that owns nothing half of the range with the highest request rate. */
+    /** Gives each upstream that owns nothing half of the requests of the range with the highest request rate. */
     private fun addOwners(ranges: List<PlannedRange>, usable: List<Upstream>): List<PlannedRange> {
         val owners = ranges.mapNotNull { it.owner }.toSet()
         return usable.filter { it.id !in owners }.fold(ranges) { all, newOwner ->
             val hottest = all.filter { it.isMovable && it.slots.size > 1 }.maxByOrNull { heat.rateOf(it.slots) }
-            hottest?.let { move(all, it, upperPart(it.slots, heat.rateOf(it.slots) / 2), newOwner) } ?: all
+            hottest?.let { move(all, it, densestPart(it.slots, heat.rateOf(it.slots) / 2), newOwner) } ?: all
         }
     }
 
-    /**
-     * Moves a range, or a part of one, from the most to the least utilized upstream, if the utilization of the former
-     * is at least [MIN_DONOR_UTILIZATION] and the difference at least [MIN_UTILIZATION_GAP]. Prefers a part of few
-     * slots whose request rate is close to the one that should move.
-     */
+    /** Makes the moves that save callers the most, one after the other, while each saves more than it costs. */
     private fun balance(ranges: List<PlannedRange>, usable: List<Upstream>): List<PlannedRange> {
+        var planned = ranges
+        repeat(maxOf(MIN_MOVES, usable.size / settings.upstreamsPerMove)) {
+            val best = bestMove(planned, usable) ?: return planned
+            expectedSaving += best.saving
+            planned = move(planned, best.range, best.part, best.taker)
+        }
+        return planned
+    }
+
+    /** The move that saves the most, from one of the most utilized upstreams to one of the least utilized. */
+    private fun bestMove(ranges: List<PlannedRange>, usable: List<Upstream>): Move? {
         val utilization = Utilization(ranges, usable)
-        val donor = utilization.mostUtilized()
-        val taker = utilization.leastUtilized()
-        val gap = utilization[donor] - utilization[taker]
-        if (utilization[donor] < MIN_DONOR_UTILIZATION || gap < MIN_UTILIZATION_GAP) return ranges
-        // The request rate whose move makes both equally utilized.
-        val rate = gap / (utilizationPerRequest(donor) + utilizationPerRequest(taker))
-        val best = ranges.filter { it.isMovable && it.owner == donor.id }
-            .flatMap { range -> partsOf(range, rate).map { range to it } }
-            .filter { (_, part) -> heat.rateOf(part) <= rate * MAX_OVERSHOOT }
-            .minByOrNull { (_, part) -> abs(heat.rateOf(part) - rate) / rate + part.size.toDouble() / slots }
-        return best?.let { (range, part) -> move(ranges, range, part, taker) } ?: ranges
+        val movable = ranges.filter { it.isMovable }.groupBy { it.owner }
+        val donors = usable.filter { it.id in movable }.sortedByDescending(utilization::waiting).take(CHOICES)
+        val takers = usable.sortedBy(utilization::get).take(CHOICES)
+        return donors.flatMap { donor ->
+            val hottest = movable.getValue(donor.id).sortedByDescending { heat.rateOf(it.slots) }.take(CHOICES)
+            takers.filter { it.id != donor.id && utilization[it] < utilization[donor] }.flatMap { taker ->
+                val evenRate = utilization.evenRate(donor, taker)
+                hottest.flatMap { range -> partsOf(range, evenRate).map { range to it } }
+                    .map { (range, part) -> Move(range, part, taker, utilization.savingOf(donor, taker, part)) }
+            }
+        }.filter { it.saving > Duration.ZERO }.maxByOrNull { it.saving }
     }
 
-    /** The parts of [range] that could move, each with about [rate] requests per second; all of it if it has fewer. */
-    private fun partsOf(range: PlannedRange, rate: Double): List<SlotRange> {
+    /** The parts of [range] that could move, with up to about [evenRate] requests per second. */
+    private fun partsOf(range: PlannedRange, evenRate: Double): List<SlotRange> {
         val whole = heat.rateOf(range.slots)
-        if (range.slots.size == 1 || whole <= rate) return listOf(range.slots)
-        return listOf(lowerPart(range.slots, rate), upperPart(range.slots, rate))
+        return RATE_FRACTIONS.map { evenRate * it }.flatMap { rate ->
+            when {
+                whole <= rate || range.slots.size == 1 -> listOf(range.slots)
+                else -> listOf(
+                    lowerPart(range.slots, rate),
+                    upperPart(range.slots, rate),
+                    densestPart(range.slots, rate),
+                )
+            }
+        }.distinct()
     }
 
+    private fun densestPart(range: SlotRange, rate: Double): SlotRange =
+        heat.densestPart(range, rate)?.takeIf { it.size < range.size } ?: upperPart(range, rate)
+
     private fun lowerPart(range: SlotRange, rate: Double) = SlotRange(range.first, splitPoint(range, rate))
 
     private fun upperPart(range: SlotRange, rate: Double) =
@@ -100,7 +128,7 @@
         return low
     }
 
-    /** Assigns [part], which lies at one end of [range], to [taker]. */
+    /** Assigns [part] of [range] to [taker]. */
     private fun move(
         ranges: List<PlannedRange>,
         range: PlannedRange,
@@ -117,7 +145,12 @@
 
     /** The utilization of [upstream] by one request per second: its service time divided by its concurrency. */
     private fun utilizationPerRequest(upstream: Upstream): Double =
-        heat.serviceTimeOf(upstream.id).toDouble(DurationUnit.SECONDS) / (upstream.concurrency ?: 1)
+        heat.serviceTimeOf(upstream.id).toDouble(DurationUnit.SECONDS) / concurrencyOf(upstream)
+
+    private fun concurrencyOf(upstream: Upstream) = upstream.concurrency ?: 1
+
+    /** Gives [part] of [range] to [taker], which is expected to save all callers together [saving] of waiting. */
+    private class Move(val range: PlannedRange, val part: SlotRange, val taker: Upstream, val saving: Duration)
 
     /** The utilization of each usable upstream; 1 is its full capacity. */
     private inner class Utilization(ranges: List<PlannedRange>, private val usable: List<Upstream>) {
@@ -136,26 +169,47 @@
 
         fun leastUtilized(): Upstream = usable.minBy(::get)
 
-        fun mostUtilized(): Upstream = usable.maxBy(::get)
-    }
-
-    private companion object {
-        /** How many ranges one plan may move to balance load, besides the moves to new owners that are necessary. */
-        const val MAX_MOVES = 2
+        /** The expected number of requests that wait for [upstream]. */
+        fun waiting(upstream: Upstream): Double = expectedWaiting(this[upstream], concurrencyOf(upstream))
 
-        /** An upstream with a lower utilization gives no range away. */
-        const val MIN_DONOR_UTILIZATION = 0.65
+        /** The request rate whose move makes both equally utilized. */
+        fun evenRate(donor: Upstream, taker: Upstream): Double =
+            (this[donor] - this[taker]) / (utilizationPerRequest(donor) + utilizationPerRequest(taker))
 
         /**
-         * The least difference in utilization for which a range moves. Requests for a moving range are delayed for a
-         * short time, which a smaller difference does not justify.
+         * The waiting that all callers together save while the load lasts if [part] moves from [donor] to [taker], less
+         * that which the move costs. The rates are uncertain, so the donor's counts as lower than estimated and the
+         * taker's as higher.
          */
-        const val MIN_UTILIZATION_GAP = 0.35
+        fun savingOf(donor: Upstream, taker: Upstream, part: SlotRange): Duration {
+            val rate = heat.rateOf(part)
+            val low = maxOf(0.0, this[donor] - uncertainty(donor))
+            val high = this[taker] + uncertainty(taker)
+            val fewer = waitingBetween(donor, low - rate * utilizationPerRequest(donor), low)
+            val more = waitingBetween(taker, high, high + rate * utilizationPerRequest(taker))
+            val cost = settings.movedRequestDelay * rate + settings.wholeMoveCost * (part.size.toDouble() / slots)
+            return settings.loadDuration * (fewer - more) - cost
+        }
 
-        /**
-         * The highest request rate of a part that may move, relative to the rate that should move. A higher rate would
-         * only shift the overload to the upstream that takes the part.
-         */
-        const val MAX_OVERSHOOT = 1.4
+        private fun uncertainty(upstream: Upstream): Double {
+            val perRequest = utilizationPerRequest(upstream)
+            return heat.uncertaintyOf(this[upstream] / perRequest) * perRequest
+        }
+
+        private fun waitingBetween(upstream: Upstream, from: Double, to: Double): Double {
+            val concurrency = concurrencyOf(upstream)
+            return expectedWaiting(to, concurrency) - expectedWaiting(maxOf(0.0, from), concurrency)
+        }
+    }
+
+    private companion object {
+        /** How many moves for the sake of load one plan may make in a small pool. */
+        const val MIN_MOVES = 2
+
+        /** How many donors, takers and ranges of a donor are compared for a move. */
+        const val CHOICES = 3
+
+        /** The rates of the parts compared for a move, relative to the one that makes both equally utilized. */
+        val RATE_FRACTIONS = listOf(1.0, 0.5, 0.25)
     }
 }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -37,6 +37,12 @@
         is StateChange.DutyLost -> write("duty-lost", "pool" to change.pool, "term" to change.term)
         is StateChange.OwnersChanged ->
             write("owners-changed", "pool" to change.pool, "version" to change.version, "moved" to change.moved)
+        is StateChange.LoadBalanced -> write(
+            "load-balanced",
+            "pool" to change.pool,
+            "version" to change.version,
+            "expectedSavingMillis" to change.expectedSaving.inWholeMilliseconds,
+        )
         is StateChange.FenceRefused ->
             write("fence-refused", "pool" to change.pool, "upstream" to change.upstream, "fence" to change.fence)
         is StateChange.OwnerSuspected -> write(
