Store: in a large fleet a few VMs of each zone read it and pass its changes on

Change: up to 12 VMs all read the store, as before. In a larger fleet one VM for every 12 of a zone does, at most two. The first passes each change on as a difference; the others announce what they know, so that a VM which lacks it asks after 100 ms. News counts as old as its sender's last answer from the store. A VM without any asks other VMs after 0.6 s, zones other than its own included, and reads the store itself after 1 s. An unlisted VM is answered too. The trees for declarations and records cross zones only between their roots. A duty's holder that is read before its pool is declared is remembered. Without limited customers no VM claims a seat.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -77,6 +77,12 @@
     /** The platform store started or stopped answering this VM. */
     public data class StoreReachable(val reachable: Boolean) : StateChange
 
+    /**
+     * This VM began or ceased to read the store's changes itself, when the news that it had from the VMs that do was
+     * [newsAge] old.
+     */
+    public data class StoreReading(val isReading: Boolean, val newsAge: Duration) : StateChange
+
     /** A watch of the entries under [prefix] ended with [result], [waited] after it was sent. */
     public data class WatchEnded(val prefix: String, val result: WatchResult, val waited: Duration) : StateChange
 }
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -77,6 +77,40 @@
         val keys: List<StoreKey>,
     ) : PeerMessage
 
+    /**
+     * Passes on the changes under [prefix] after revision [after], up to [upTo], to a receiver that knows those before.
+     *
+     * @property entries changed entries in the order of their revisions; the value of a deleted one is null.
+     */
+    @Serializable
+    @SerialName("EntriesChanged")
+    public data class EntriesChanged(
+        val prefix: String,
+        val after: StoreRevision,
+        val upTo: StoreRevision,
+        val entries: List<StoreEntry>,
+    ) : PeerMessage
+
+    /**
+     * Announces what the sender, which reads the store itself, has read there.
+     *
+     * @property prefixes the latest change that it knows under each prefix.
+     * @property age how long ago the store last answered the sender.
+     */
+    @Serializable
+    @SerialName("StoreNews")
+    public data class StoreNews(
+        val declaration: DeclarationVersion,
+        val prefixes: List<PrefixDigest>,
+        val age: Duration,
+    ) : PeerMessage
+
+    /** Asks for what the receiver knows of the store beyond what the sender does, and for its [StoreNews]. */
+    @Serializable
+    @SerialName("StoreNewsQuery")
+    public data class StoreNewsQuery(val declaration: DeclarationVersion, val prefixes: List<PrefixDigest>) :
+        PeerMessage
+
     /**
      * Asks the coordinator of a customer's budget for up to [demand] tokens of one request each. The coordinator is the
      * VM that collects the portions of the customer's rate that VMs waive, and lends tokens from them.
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -79,6 +79,13 @@
     /** [vm] sends [message] to a peer. */
     fun onPeerMessage(fleet: VirtualFleet, vm: VirtualVm, message: PeerMessage) = Unit
 
+    /** [vm] sends [message] to the peer [to]. */
+    fun onPeerMessage(fleet: VirtualFleet, vm: VirtualVm, to: VmId, message: PeerMessage) =
+        onPeerMessage(fleet, vm, message)
+
+    /** [vm] makes [call] to the store. */
+    fun onStoreCall(fleet: VirtualFleet, vm: VirtualVm, call: StoreCall) = Unit
+
     /** [vm] sends the grant [order] to an upstream. */
     fun onGrantOrder(fleet: VirtualFleet, vm: VirtualVm, order: GrantOrder) = Unit
 
@@ -216,7 +223,7 @@
 
     private fun execute(vm: VirtualVm, effect: Effect) {
         when (effect) {
-            is Effect.CallStore -> store.call(vm.endpoint, effect.call) { vm.submit(Event.StoreReplied(effect.id, it)) }
+            is Effect.CallStore -> callStore(vm, effect)
             is Effect.SendPeer -> sendPeer(vm, effect)
             is Effect.SendGrant -> sendGrant(vm, effect)
             is Effect.SendRangeOrder -> vm.submit(Event.RangeOrderEnded(effect.id, RangeOrderOutcome.Rejected))
@@ -230,8 +237,13 @@
         }
     }
 
+    private fun callStore(vm: VirtualVm, effect: Effect.CallStore) {
+        observer.onStoreCall(this, vm, effect.call)
+        store.call(vm.endpoint, effect.call) { vm.submit(Event.StoreReplied(effect.id, it)) }
+    }
+
     private fun sendPeer(vm: VirtualVm, effect: Effect.SendPeer) {
-        observer.onPeerMessage(this, vm, effect.message)
+        observer.onPeerMessage(this, vm, effect.to, effect.message)
         val peer = runningVms[effect.to] ?: return
         network.send(vm.endpoint, peer.endpoint) { peer.submit(Event.PeerMessageReceived(vm.id, effect.message)) }
     }
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualStore.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualStore.kt
@@ -24,6 +24,9 @@
     /** Whether the store is down: calls neither take effect nor get a reply. */
     var isDown = false
 
+    /** The processes whose calls are refused at once, while those of the others are served. */
+    var refused: Set<Endpoint> = emptySet()
+
     /** Whether the replies to successful writes are lost; the writes themselves take effect. */
     var losesWriteReplies = false
 
@@ -46,6 +49,7 @@
         time.after(callTimeout + wait) { answer(StoreReply.Unavailable) }
         network.send(from, endpoint) {
             if (isDown) return@send
+            if (from in refused) return@send sendReply(from, StoreReply.Unavailable, answer)
             model.handle(call, now()) { result -> sendReply(from, result, answer) }
             scheduleExpiry()
         }
--- a/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/operate/StatusCommand.kt
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/operate/StatusCommand.kt
@@ -61,7 +61,8 @@
                 continue
             }
             val lag = if (status.declaration == newest) "" else "  LAGS"
-            val store = if (status.storeReachable) "" else "  store unreachable"
+            val reading = if (status.readsStore) "  reads the store" else ""
+            val store = if (status.storeReachable) reading else "$reading  store unreachable"
             val state = if (status.ready) "ready" else "not ready"
             val duties = status.duties.joinToString().ifEmpty { "-" }
             console.println("${status.vm}  $state  declaration ${status.declaration}$lag$store  duties: $duties")
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -34,6 +34,7 @@
 import cicadagauge.peer.CrashSuspicion
 import cicadagauge.peer.PeerMessage
 import cicadagauge.peer.PermitResult
+import cicadagauge.peer.PrefixDigest
 import cicadagauge.peer.RecordDigest
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
@@ -54,6 +55,7 @@
             exceptions = listOf(SlotException(Slot(4), UpstreamId("b"))),
             predecessors = setOf(VmId("vm-0")),
         )
+        val deleted = StoreEntry(StoreKey("a/b"), null, StoreRevision(6))
         val step = GrantStep(Term(3), RecordVersion(7), GrantPhase.Shrink)
 
         test("every peer message is unchanged after writing and reading it") {
@@ -61,6 +63,9 @@
                 PeerMessage.DeclarationUpdate(DeclarationVersion(4), "text"),
                 PeerMessage.RecordUpdate(record),
                 PeerMessage.Digest(DeclarationVersion(4), listOf(RecordDigest(pool, Term(3), RecordVersion(7)))),
+                PeerMessage.EntriesChanged("a/", StoreRevision(4), StoreRevision(6), listOf(deleted)),
+                PeerMessage.StoreNews(DeclarationVersion(4), listOf(PrefixDigest("a/", StoreRevision(6))), 1.seconds),
+                PeerMessage.StoreNewsQuery(DeclarationVersion(4), listOf(PrefixDigest("a/", StoreRevision(6)))),
                 PeerMessage.BudgetRequest(CustomerName("t"), 5, Moment(12), 2.seconds, 3),
                 PeerMessage.BudgetRequest(CustomerName("t"), 5, null, 2.seconds, 3),
                 PeerMessage.WaiverRenewal(listOf("t", "u").map(::CustomerName), 5, listOf(0, 4), null, 2.seconds),
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
@@ -1,9 +1,9 @@
 /*
- * Disseminates declarations and ownership records to all VMs. Updates travel along the edges of a tree over the sorted
- * VMs, in both directions, so that each VM sends a bounded number of messages wherever an update originates. Lost
- * updates are repaired by anti-entropy: each VM compares versions with one other VM at a time, in turn. The same
- * comparison passes on registered upstreams and zones out of service, for VMs that can't read them from the store, and
- * which requests crash upstreams.
+ * Disseminates declarations and ownership records to all VMs. Updates travel along the edges of a tree, in both
+ * directions, so that each VM sends a bounded number of messages wherever an update originates. Each availability zone
+ * has a tree of its own, and only the roots of these send to each other. Lost updates are repaired by anti-entropy:
+ * each VM compares versions with one other VM at a time, in turn. The same comparison passes on registered upstreams
+ * and zones out of service, for VMs that can't read them from the store, and which requests crash upstreams.
  */
 package cicadagauge.dissemination
 
@@ -100,17 +100,19 @@
         other == null || one.term > other.term || (one.term == other.term && one.version > other.version)
 
     /**
-     * This VM's parent and children in a tree with [DisseminationSettings.fanOut] children per VM; all listed VMs where
-     * this one is not listed, since it has no position in the tree.
+     * This VM's parent and children in its zone's tree, with [DisseminationSettings.fanOut] children per VM, and for
+     * its root those of the other zones; all listed VMs where this one is not listed, since it has no position in the
+     * tree.
      */
     private fun neighbours(): List<Vm> {
-        val all = vms.all
-        val position = all.indexOfFirst { it.id == vms.self }
-        if (position < 0) return all
-        val children = (position * settings.fanOut + 1..position * settings.fanOut + settings.fanOut)
-        val parent = (position - 1) / settings.fanOut
-        val positions = if (position == 0) children.toList() else children + parent
-        return positions.mapNotNull { all.getOrNull(it) }
+        val ranked = vms.ranked(TREE)
+        val zoneVms = ranked.filter { it.zone == vms.zone }
+        val position = zoneVms.indexOfFirst { it.id == vms.self }
+        if (position < 0) return vms.all
+        val firstChild = position * settings.fanOut + 1
+        val children = (firstChild until firstChild + settings.fanOut).mapNotNull { zoneVms.getOrNull(it) }
+        if (position > 0) return children + zoneVms[(position - 1) / settings.fanOut]
+        return children + ranked.filter { it.zone != vms.zone }.distinctBy { it.zone }
     }
 
     private fun nextAntiEntropyPeer(): Vm? {
@@ -119,4 +121,8 @@
         partnerIndex++
         return peers[(partnerIndex + vms.self.hashCode().mod(peers.size)) % peers.size]
     }
+
+    private companion object {
+        const val TREE = "tree"
+    }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
@@ -93,6 +93,9 @@
     /** The listed VM with [id], or null. */
     fun vm(id: VmId): Vm? = vms[id]
 
+    /** The VM with [id] as it was last listed, or null if it never was. */
+    fun lastKnown(id: VmId): Vm? = vms[id] ?: lastKnown[id]
+
     /** Applies a newly received list of VMs; one that equals the previous list only updates [updatedAt]. */
     fun update(list: List<Vm>, now: Moment) {
         updatedAt = now
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmRegistration.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmRegistration.kt
@@ -17,7 +17,7 @@
 /**
  * Keeps [self] registered in the store, under this process's [lease], and collects the registrations of the other VMs,
  * for platforms that keep no list of VMs themselves. [onListed] is called with the list whenever it changes, and
- * every [retryDelay] while the store answers.
+ * every [retryDelay] while the store answers and the registrations are current.
  */
 internal class VmRegistration(
     private val self: Vm,
@@ -26,6 +26,7 @@
     private val lease: ProcessLease,
     private val timers: Timers,
     private val retryDelay: Duration,
+    private val isCurrent: (Moment) -> Boolean,
     private val onListed: (List<Vm>, Moment) -> Unit,
 ) {
     private val vms = LinkedHashMap<VmId, Vm>()
@@ -68,7 +69,7 @@
 
     /** Repeats the list while the store answers: only a recent list shows that a VM missing from it has stopped. */
     private fun repeatList(now: Moment) {
-        if (store.lastAnswerAt + retryDelay * 2 >= now) reportList(now)
+        if (store.lastAnswerAt + retryDelay * 2 >= now && isCurrent(now)) reportList(now)
         timers.at(now + retryDelay, ::repeatList)
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -8,6 +8,7 @@
 import cicadagauge.declaration.Declaration
 import cicadagauge.dispatch.Dispatcher
 import cicadagauge.dissemination.Disseminator
+import cicadagauge.dissemination.StoreNews
 import cicadagauge.identity.AvailabilityZone
 import cicadagauge.identity.Moment
 import cicadagauge.identity.PoolName
@@ -29,6 +30,7 @@
 import cicadagauge.quarantine.RequestQuarantine
 import cicadagauge.routing.OwnerDirectory
 import cicadagauge.store.NodeCodecs
+import cicadagauge.store.ReadingPolicy
 import cicadagauge.store.SharedEntries
 import cicadagauge.store.StoreClient
 import cicadagauge.store.StoreEntry
@@ -44,7 +46,13 @@
     private val store = StoreClient(effects)
     private val absenceTimeout = if (settings.registration == null) Duration.ZERO else settings.ownership.listLag
     private val vms = VmDirectory(settings.vm, settings.zone, effects, absenceTimeout)
-    private val watchers = Watchers(vms, settings.dissemination.watchersPerZone)
+    private val watchers = Watchers(
+        vms = vms,
+        perZone = settings.dissemination.watchersPerZone,
+        vmsPerWatcher = settings.dissemination.vmsPerWatcher,
+        everyVmUpTo = settings.dissemination.everyVmWatchesUpTo,
+    )
+    private val dutyHolders = Watchers(vms, settings.dissemination.dutyHoldersPerZone)
     private val recordWatchers = Watchers(vms, settings.dissemination.recordWatchersPerZone)
     private val reachability = UpstreamReachability(vms, settings.reachability, timers, effects) { isOwn, now ->
         dispatcher.reachabilityChanged(now)
@@ -72,17 +80,30 @@
     private val admission = RequestAdmission(owners, budgets, dispatcher, effects)
     private val declarations = DeclarationHolder(codecs.declarations, effects, ::configure)
     private val sharedEntries = listOf(StoreKeys.UPSTREAMS, StoreKeys.ZONES_OUT).map(::SharedEntries)
+    private val stateEntries = SharedEntries(StoreKeys.STATE)
+    private val news = settings.dissemination.news?.let {
+        StoreNews(vms, watchers, store, declarations, sharedEntries + stateEntries, it, timers, effects, start)
+    }
     private val disseminator: Disseminator =
         Disseminator(vms, declarations, owners, sharedEntries, quarantine, settings.dissemination, timers)
     private val lease = ProcessLease(store, timers, settings.ownership)
     private val orders = RangeOrders(effects, reachability::failed)
     private val registration = settings.registration?.let { vm ->
-        VmRegistration(vm, codecs.vms, store, lease, timers, settings.ownership.registrationRetry, ::listed)
+        VmRegistration(
+            self = vm,
+            codec = codecs.vms,
+            store = store,
+            lease = lease,
+            timers = timers,
+            retryDelay = settings.ownership.registrationRetry,
+            isCurrent = { news?.isCurrent(it) ?: true },
+            onListed = ::listed,
+        )
     }
     private val duties: DutyManager = DutyManager(
         DutyServices(
             vms = vms,
-            watchers = watchers,
+            candidates = dutyHolders,
             store = store,
             codec = codecs.records,
             settings = settings.ownership,
@@ -95,13 +116,13 @@
             reachability = reachability,
         ),
     )
-    private val stateWatcher = storeWatcher(StoreKeys.STATE, watchers)
-    private val storeWatchers = listOf(
-        storeWatcher(StoreKeys.OPERATORS, watchers),
-        storeWatcher(StoreKeys.UPSTREAMS, watchers),
+    private val stateWatcher = storeWatcher(StoreKeys.STATE, watchers, news)
+    private val newsWatchers = listOf(
+        storeWatcher(StoreKeys.OPERATORS, watchers, news),
+        storeWatcher(StoreKeys.UPSTREAMS, watchers, news),
         stateWatcher,
-        storeWatcher(StoreKeys.RECORDS, recordWatchers),
     )
+    private val storeWatchers = newsWatchers + storeWatcher(StoreKeys.RECORDS, recordWatchers, policy = null)
     private val watcherMonitor = WatcherMonitor(vms, watchers, settings.dissemination, timers) { now ->
         storeWatchers.forEach { it.rankChanged(now) }
     }
@@ -124,6 +145,8 @@
         pools = owners.records().map(::poolStatus),
         pendingRequests = dispatcher.pending,
         storeReachable = store.lastAnswerAt + settings.ownership.storeOutTimeout > now,
+        readsStore = news?.isReading ?: watchers.includesSelf(),
+        storeNewsAgeMillis = (news?.newsAge(now) ?: (now - store.lastAnswerAt)).inWholeMilliseconds,
         vms = vms.all.map { it.id },
     )
 
@@ -151,6 +174,7 @@
     private fun started(now: Moment) {
         registration?.start(now)
         storeWatchers.forEach { it.start(now) }
+        news?.start(newsWatchers, now)
         disseminator.start(now)
         watcherMonitor.start(now)
         budgets.start(now)
@@ -213,6 +237,9 @@
             is PeerMessage.Digest -> disseminator.handleDigest(from, message, now)
             is PeerMessage.QuarantineUpdate -> quarantine.adopt(message.suspicions, from, now)
             is PeerMessage.EntriesUpdate -> storeWatchers.forEach { it.adopt(message, now) }
+            is PeerMessage.EntriesChanged -> news?.changesReceived(from, message, now)
+            is PeerMessage.StoreNews -> news?.newsReceived(from, message, now)
+            is PeerMessage.StoreNewsQuery -> news?.queryReceived(from, message, now)
             PeerMessage.Ping -> vms.vm(from)?.let { vms.send(it, PeerMessage.Pong) }
             PeerMessage.Pong -> Unit
             PeerMessage.Leaving -> peerLeft(from, now)
@@ -248,7 +275,8 @@
 
     private fun configure(declaration: Declaration, now: Moment) {
         admission.configure(declaration)
-        seats.configure(declaration.entryVms, now)
+        // Where no rate is to be divided, the list of seats would only cost calls to the store.
+        if (declaration.customers.any { it.isLimited }) seats.configure(declaration.entryVms, now)
         budgets.configure(declaration, now)
         inventory.declare(declaration, now)
     }
@@ -261,7 +289,8 @@
     }
 
     private fun adoptDeclaration(text: String, source: VmId?, now: Moment) {
-        if (declarations.acceptIfNewer(text, now)) disseminator.propagateDeclaration(source)
+        if (!declarations.acceptIfNewer(text, now)) return
+        if (news?.isShared == true) news.declarationAdopted(source, now) else disseminator.propagateDeclaration(source)
     }
 
     private fun adoptRecord(record: OwnershipRecord, source: VmId?, now: Moment) {
@@ -297,7 +326,7 @@
         effects.add(Effect.WakeAt(next))
     }
 
-    private fun storeWatcher(prefix: String, prefixWatchers: Watchers) = StoreWatcher(
+    private fun storeWatcher(prefix: String, prefixWatchers: Watchers, policy: ReadingPolicy?) = StoreWatcher(
         prefix = prefix,
         store = store,
         watchers = prefixWatchers,
@@ -305,7 +334,10 @@
         timers = timers,
         listener = StoreEntryHandler(),
         effects = effects,
-        shared = sharedEntries.firstOrNull { it.prefix.startsWith(prefix) },
+        shared = (sharedEntries + stateEntries).firstOrNull { it.prefix.startsWith(prefix) },
+        policy = policy,
+        // The registrations of VMs show how large the fleet is, and thus which VMs read the others.
+        listsAtStart = prefix == StoreKeys.STATE,
     )
 
     private inner class StoreEntryHandler : StoreListener {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -270,13 +270,19 @@
  *
  * @property fanOut Children per VM in the dissemination tree.
  * @property antiEntropyInterval Interval at which a VM compares its versions with those of another VM.
- * @property watchersPerZone VMs per availability zone that watch declarations, registrations and duties in the store.
+ * @property watchersPerZone most VMs per availability zone that watch declarations, registrations and duties in the
+ * store.
+ * @property vmsPerWatcher how many VMs of a zone there are for each such watcher.
+ * @property everyVmWatchesUpTo most VMs that a fleet may have of which every one watches the store.
+ * @property dutyHoldersPerZone VMs per availability zone that may hold duties.
+ * @property news Times of the exchange of what the watchers read; null where it is not passed on.
  * @property recordWatchersPerZone VMs per availability zone that watch ownership records in the store.
  * @property watchWait How long a store watch may wait for changes.
  * @property shortWatchWait The same on the VM that ranks first among the watchers, and on all of them for
  * [shortWatchPeriod] after the store's return. It bounds how long a lost watch can go unnoticed.
  * @property shortWatchPeriod How long after the store's return all watches wait for [shortWatchWait] only.
  * @property watchRetry Delay before a failed store read or watch is repeated.
+ * @property informedWatchRetry The same where peers have told this VM recently what they have read.
  * @property minWatchRenewalInterval Shortest time from a watch to the one that replaces it on the store's return.
  * @property watchPause Delay between a watch that returned changes and the next one.
  * @property watcherPingInterval Interval at which the watchers next in rank check those before them; one not heard from
@@ -290,11 +296,16 @@
     val fanOut: Int = 16,
     val antiEntropyInterval: Duration = 500.milliseconds,
     val watchersPerZone: Int = 2,
+    val vmsPerWatcher: Int = 1,
+    val everyVmWatchesUpTo: Int = 0,
+    val dutyHoldersPerZone: Int = 2,
+    val news: StoreNewsSettings? = null,
     val recordWatchersPerZone: Int = 2,
     val watchWait: Duration = 10.seconds,
     val shortWatchWait: Duration = 1_500.milliseconds,
     val shortWatchPeriod: Duration = 5.seconds,
     val watchRetry: Duration = 250.milliseconds,
+    val informedWatchRetry: Duration = 1.seconds,
     val minWatchRenewalInterval: Duration = 500.milliseconds,
     val watchPause: Duration = Duration.ZERO,
     val watcherPingInterval: Duration = 300.milliseconds,
@@ -302,3 +313,29 @@
     val watcherSuspicion: Duration = 5.seconds,
     val registrationGrace: Duration = 2_300.milliseconds,
 )
+
+/**
+ * Times by which watchers pass on what they read in the store, and others notice that they don't.
+ *
+ * @property minInterval Shortest time from a watcher's announcement to the next one that brings no change.
+ * @property changeDelay Delay from a change to the announcement of it by the watchers that don't pass it on themselves.
+ * @property arrivalTime How long a change that was announced may take to arrive before it is asked for.
+ * @property queryAfter Age of the news from which this VM asks other VMs for it.
+ * @property queryInterval Interval at which it does.
+ * @property readAfter Age of the news from which this VM reads the store itself.
+ * @property settleTime How long this VM must rank among the watchers before it becomes one while it has news from
+ * others, and how long it reads the store itself at least.
+ * @property startPause Time from the start to the first decision, in which the other VMs become known.
+ * @property checkInterval Interval of the decisions.
+ */
+public data class StoreNewsSettings(
+    val minInterval: Duration = 300.milliseconds,
+    val changeDelay: Duration = 50.milliseconds,
+    val arrivalTime: Duration = 100.milliseconds,
+    val queryAfter: Duration = 600.milliseconds,
+    val queryInterval: Duration = 300.milliseconds,
+    val readAfter: Duration = 1.seconds,
+    val settleTime: Duration = 1.seconds,
+    val startPause: Duration = 300.milliseconds,
+    val checkInterval: Duration = 100.milliseconds,
+)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeStatus.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeStatus.kt
@@ -17,6 +17,9 @@
  * @property pools The owners of the keyed pools, as the VM knows them.
  * @property pendingRequests The number of requests accepted and not yet answered.
  * @property storeReachable Whether the store has answered the VM recently.
+ * @property readsStore Whether the VM reads the store's changes itself.
+ * @property storeNewsAgeMillis How long ago the store last answered the VM, if it reads the changes itself, or else the
+ * VM from which it has them.
  * @property vms All listed VMs.
  */
 public data class NodeStatus(
@@ -27,6 +30,8 @@
     val pools: List<PoolStatus>,
     val pendingRequests: Int,
     val storeReachable: Boolean,
+    val readsStore: Boolean,
+    val storeNewsAgeMillis: Long,
     val vms: List<VmId>,
 )
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/SelfRegisteredNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/SelfRegisteredNode.kt
@@ -38,6 +38,15 @@
     /** The time within which the other VMs have read a new registration. */
     private val LISTED_BEFORE_READY: Duration = 400.milliseconds
 
+    /** The store's news still reaches a zone at once when one of its watchers has stopped. */
+    private const val WATCHERS_PER_ZONE = 2
+
+    /** A small zone has one watcher, and is served by those of the other zones when that one has stopped. */
+    private const val VMS_PER_WATCHER = 12
+
+    /** Up to this many VMs, the calls of all of them cost the store little, and no news is older than by one hop. */
+    private const val SMALL_FLEET = 12
+
     /** The settings of the node that runs on [vm] and registers itself as such, with the limits of [dispatch]. */
     public fun settings(vm: Vm, dispatch: DispatchSettings): NodeSettings = NodeSettings(
         vm = vm.id,
@@ -60,7 +69,11 @@
         ),
         dispatch = dispatch.copy(sweepInterval = 10.milliseconds),
         dissemination = DisseminationSettings(
-            watchersPerZone = Int.MAX_VALUE,
+            watchersPerZone = WATCHERS_PER_ZONE,
+            vmsPerWatcher = VMS_PER_WATCHER,
+            everyVmWatchesUpTo = SMALL_FLEET,
+            dutyHoldersPerZone = Int.MAX_VALUE,
+            news = StoreNewsSettings(),
             recordWatchersPerZone = 1,
             watchPause = WATCH_PAUSE,
             watchWait = WATCH_WAIT,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -26,7 +26,7 @@
 /** The dependencies that all duties of one VM share. */
 internal class DutyServices(
     val vms: VmDirectory,
-    val watchers: Watchers,
+    val candidates: Watchers,
     val store: StoreClient,
     val codec: RecordCodec,
     val settings: OwnershipSettings,
@@ -49,6 +49,7 @@
     private val vms = dependencies.vms
     private val lease = dependencies.lease
     private val duties = LinkedHashMap<PoolName, PoolDuty>()
+    private val holders = HashMap<PoolName, Holder>()
     private var isStopping = false
 
     init {
@@ -64,14 +65,22 @@
         val gone = duties.keys - keyed.map { it.name }.toSet()
         gone.forEach { name -> duties.remove(name)?.giveUp(now) }
         for (pool in keyed) {
-            duties.getOrPut(pool.name) { PoolDuty(pool, newDeclaration, dependencies, lease, now) }
-                .configure(pool, newDeclaration)
+            val duty = duties.getOrPut(pool.name) {
+                PoolDuty(pool, newDeclaration, dependencies, lease, now).apply {
+                    holders[pool.name]?.let { holderChanged(it.vm, it.revision, now) }
+                }
+            }
+            duty.configure(pool, newDeclaration)
         }
         takeVacantDuties(now)
     }
 
-    /** Handles a change of the duty key of [pool]: [holder] holds it as of [revision], null if no VM does. */
+    /**
+     * Handles a change of the duty key of [pool]: [holder] holds it as of [revision], null if no VM does. The holder is
+     * remembered for a pool that is declared later.
+     */
     fun holderChanged(pool: PoolName, holder: VmId?, revision: StoreRevision, now: Moment) {
+        holders[pool] = Holder(holder, revision)
         duties[pool]?.holderChanged(holder, revision, now)
     }
 
@@ -172,6 +181,8 @@
         duties.values.forEach { it.keyDeleted(now) }
     }
 
+    private class Holder(val vm: VmId?, val revision: StoreRevision)
+
     private companion object {
         /** Two intervals of the probes for a return, and the time to open their connections. */
         val RETURN_TIME: Duration = 700.milliseconds
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
@@ -108,7 +108,7 @@
     }
 
     private fun ownRank(): Int {
-        val eligible = dependencies.watchers.eligible()
+        val eligible = dependencies.candidates.eligible()
         return vms.ranked(dutyKey.value).filter { it.id in eligible }.sortedBy { vms.isCutOff(it.id) }
             .indexOfFirst { it.id == vms.self }
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/SharedEntries.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/SharedEntries.kt
@@ -49,6 +49,19 @@
         return changes
     }
 
+    /**
+     * Applies the [change] that a peer has passed on, and returns what is new in it; null where changes before it are
+     * not known yet.
+     */
+    fun adopt(change: PeerMessage.EntriesChanged): List<StoreEntry>? {
+        if (latest < change.after) return null
+        val new = change.entries.filter { it.revision > latest }
+        new.forEach(::applyEntry)
+        latest = maxOf(latest, change.upTo)
+        adoptedUpTo = maxOf(adoptedUpTo, change.upTo)
+        return new
+    }
+
     /** Resets the known revisions, because the store's revisions have started over. */
     fun reset() {
         latest = StoreRevision.ABSENT
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreClient.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreClient.kt
@@ -9,8 +9,12 @@
 internal class StoreClient(private val effects: Effects) {
     private val callbacks = HashMap<StoreCallId, (StoreReply, Moment) -> Unit>()
     private val returnListeners = ArrayList<(Moment) -> Unit>()
+    private val answerListeners = ArrayList<(Moment) -> Unit>()
     private var nextId = 1L
-    private var reachable = true
+
+    /** Whether the store has answered the last call that ended. */
+    var isReachable: Boolean = true
+        private set
 
     /** When the store last answered any call. */
     var lastAnswerAt: Moment = Moment.PAST
@@ -28,6 +32,11 @@
         returnListeners += listener
     }
 
+    /** Calls [listener] with the current time whenever the store has answered, once that answer has been handled. */
+    fun onAnswer(listener: (Moment) -> Unit) {
+        answerListeners += listener
+    }
+
     /**
      * Issues [call]; [onReply] is called once with the reply and the time of its receipt, unless the call is cancelled.
      */
@@ -49,13 +58,14 @@
         val hasReturned = noteReachability(reply != StoreReply.Unavailable, now)
         onReply(reply, now)
         if (hasReturned) returnListeners.forEach { it(now) }
+        if (reply != StoreReply.Unavailable) answerListeners.forEach { it(now) }
     }
 
     /** Records whether the store has [answered]; true if it does again after a call without an answer. */
     private fun noteReachability(answered: Boolean, now: Moment): Boolean {
         if (answered) lastAnswerAt = now
-        if (answered == reachable) return false
-        reachable = answered
+        if (answered == isReachable) return false
+        isReachable = answered
         if (answered) returnedAt = now
         effects.add(Effect.StateChanged(StateChange.StoreReachable(answered)))
         return answered
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
@@ -10,6 +10,7 @@
 import cicadagauge.node.WatchResult
 import cicadagauge.peer.PeerMessage
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Receives the entries that a [StoreWatcher] reads and their changes. */
 internal interface StoreListener {
@@ -20,10 +21,26 @@
     fun entryChanged(entry: StoreEntry, now: Moment)
 }
 
+/** Decides whether this VM reads the store itself, and passes on what is read there. */
+internal interface ReadingPolicy {
+    /** Whether this VM reads the store's changes at present. */
+    val isReading: Boolean
+
+    /** Whether other VMs have told this one recently what they have read. */
+    fun isInformed(now: Moment): Boolean
+
+    /** The entries in [change] have changed, as the store or a peer has reported. */
+    fun changed(change: PeerMessage.EntriesChanged, now: Moment)
+
+    /** All entries were read; the changes in between are not known one by one. */
+    fun listed(now: Moment)
+}
+
 /**
  * Reads the entries under [prefix] once at the start and watches them while this VM is one of the [watchers]. Where the
  * store no longer has the history since the last reply, all entries are read again, and missing ones count as deleted.
- * Entries in [shared] may also be received from peers.
+ * Entries in [shared] may also be received from peers. With a [policy], it decides instead of the [watchers], and also
+ * about reading at the start unless [listsAtStart].
  */
 internal class StoreWatcher(
     private val prefix: String,
@@ -34,6 +51,8 @@
     private val listener: StoreListener,
     private val effects: Effects,
     val shared: SharedEntries? = null,
+    private val policy: ReadingPolicy? = null,
+    private val listsAtStart: Boolean = true,
 ) {
     private val known = HashSet<StoreKey>()
     private var revision = StoreRevision.ABSENT
@@ -43,6 +62,8 @@
         private set
 
     private var isUpToDate = false
+    private var isConfirmed = false
+    private var isIdle = false
     private var pendingWatch: PendingWatch? = null
 
     init {
@@ -51,19 +72,62 @@
 
     /** Applies a peer's update and reports the changes in it to the listener. */
     fun adopt(update: PeerMessage.EntriesUpdate, now: Moment) {
-        val changes = shared?.takeIf { it.prefix == update.prefix }?.adopt(update) ?: return
-        changes.forEach { deliver(it, now) }
+        val entries = shared?.takeIf { it.prefix == update.prefix } ?: return
+        val before = entries.latest
+        report(before, entries.adopt(update), now)
+    }
+
+    /**
+     * Applies the changes that a peer has passed on and reports them to the listener. Returns false if earlier ones are
+     * missing.
+     */
+    fun adopt(change: PeerMessage.EntriesChanged, now: Moment): Boolean {
+        val entries = shared?.takeIf { it.prefix == change.prefix } ?: return true
+        val before = entries.latest
+        report(before, entries.adopt(change) ?: return false, now)
+        return true
+    }
+
+    /** Notes that peers which read the store know no more about the prefix than this VM does. */
+    fun confirmCurrent() {
+        isRead = true
+    }
+
+    /**
+     * Whether this VM reads the changes and has missed none: the last read has succeeded, or a watch has been pending
+     * for so long that the store would have answered it if there were any.
+     */
+    fun isCurrent(now: Moment): Boolean {
+        val hasWaited = pendingWatch?.let { it.sentAt + CONFIRMATION_TIME <= now } ?: false
+        return isUpToDate && (isConfirmed || hasWaited)
     }
 
     /** Starts, or continues, to read and watch the prefix. */
     fun start(now: Moment) {
+        isIdle = !isNeeded()
+        if (isIdle) isConfirmed = false
         when {
+            isIdle -> timers.at(now + settings.watchRetry) { if (isIdle) start(it) }
             !isUpToDate -> list()
-            watchers.includesSelf() -> watch(sentAt = now)
-            else -> timers.at(now + settings.watchRetry, ::start)
+            else -> watch(sentAt = now)
+        }
+    }
+
+    /** Begins or ends to read after the decision of the policy has changed. */
+    fun policyChanged(now: Moment) {
+        val watch = pendingWatch
+        when {
+            isIdle && isNeeded() -> start(now)
+            watch != null && !isNeeded() -> end(watch, now)
         }
     }
 
+    private fun isNeeded(): Boolean = when {
+        policy == null -> !isUpToDate || watchers.includesSelf()
+        listsAtStart && !isUpToDate -> true
+        else -> policy.isReading
+    }
+
     /**
      * Replaces the pending watch, because a peer knows something that the store should have reported. A watch that was
      * sent within [DisseminationSettings.shortWatchWait] is left, so that repeated signs cost few calls.
@@ -80,7 +144,8 @@
 
     private fun list() {
         store.call(StoreCall.List(prefix)) { reply, now ->
-            if (reply is StoreReply.Listed) listed(reply, now) else timers.at(now + settings.watchRetry, ::start)
+            isConfirmed = reply is StoreReply.Listed
+            if (reply is StoreReply.Listed) listed(reply, now) else timers.at(now + retryDelay(now), ::start)
         }
     }
 
@@ -95,19 +160,23 @@
         known += present
         listener.snapshot(reply.entries.filter(::applyIfNew), now)
         deleted.map { StoreEntry(it, null, reply.upTo) }.filter(::applyIfNew).forEach { listener.entryChanged(it, now) }
+        policy?.listed(now)
         start(now)
     }
 
     private fun watch(sentAt: Moment) {
         val wait = if (expectsLoss(sentAt)) settings.shortWatchWait else settings.watchWait
+        // A peer's changes cover the whole prefix only where all of it is shared.
+        if (shared?.prefix == prefix) revision = maxOf(revision, shared.latest)
         val call = StoreCall.Watch(prefix, after = revision, wait = wait)
         val id = store.call(call) { reply, now ->
             pendingWatch = null
+            isConfirmed = reply is StoreReply.Changes
             reportEnd(resultOf(reply), waited = now - sentAt)
             when (reply) {
                 is StoreReply.Changes -> applyChanges(reply, now)
                 StoreReply.HistoryLost -> listAgain(now)
-                else -> timers.at(now + settings.watchRetry, ::start)
+                else -> timers.at(now + retryDelay(now), ::start)
             }
         }
         val watch = PendingWatch(id, sentAt)
@@ -115,6 +184,10 @@
         if (wait > settings.shortWatchWait) scheduleCheck(watch, sentAt)
     }
 
+    /** A read that failed is repeated later where the changes are known from peers. */
+    private fun retryDelay(now: Moment): Duration =
+        if (policy?.isInformed(now) == true) settings.informedWatchRetry else settings.watchRetry
+
     /**
      * Whether a watch sent at [now] is not to wait long, because a lost watch looks like one without changes until its
      * wait ends: for a while after the store has failed to answer, and always on one VM of the fleet.
@@ -137,6 +210,11 @@
     private fun renew(watch: PendingWatch, now: Moment) {
         val renewableAt = watch.sentAt + settings.minWatchRenewalInterval
         if (now < renewableAt) return timers.at(renewableAt) { if (pendingWatch == watch) renew(watch, it) }
+        end(watch, now)
+    }
+
+    /** Cancels [watch], and sends another one if it is needed. */
+    private fun end(watch: PendingWatch, now: Moment) {
         store.cancel(watch.id)
         pendingWatch = null
         reportEnd(WatchResult.Renewed, waited = now - watch.sentAt)
@@ -156,7 +234,9 @@
     private fun applyChanges(changes: StoreReply.Changes, now: Moment) {
         if (changes.upTo < revision) return listAgain(now)
         revision = changes.upTo
-        changes.entries.filter(::applyIfNew).forEach { deliver(it, now) }
+        val before = shared?.latest
+        val new = changes.entries.filter(::applyIfNew)
+        if (before == null) new.forEach { deliver(it, now) } else report(before, new, now)
         if (changes.entries.isEmpty()) start(now) else timers.at(now + settings.watchPause, ::start)
     }
 
@@ -164,6 +244,14 @@
     private fun applyIfNew(entry: StoreEntry): Boolean =
         shared == null || entry.key !in shared || shared.applyEntry(entry)
 
+    /** Delivers the [changes] that are new since revision [before], and has those in [shared] passed on. */
+    private fun report(before: StoreRevision, changes: List<StoreEntry>, now: Moment) {
+        changes.forEach { deliver(it, now) }
+        val passedOn = changes.filter { shared != null && it.key in shared }
+        if (shared == null || passedOn.isEmpty()) return
+        policy?.changed(PeerMessage.EntriesChanged(shared.prefix, before, shared.latest, passedOn), now)
+    }
+
     private fun deliver(entry: StoreEntry, now: Moment) {
         if (entry.value == null) known -= entry.key else known += entry.key
         listener.entryChanged(entry, now)
@@ -175,4 +263,8 @@
     }
 
     private class PendingWatch(val id: StoreCallId, val sentAt: Moment)
+
+    private companion object {
+        val CONFIRMATION_TIME: Duration = 250.milliseconds
+    }
 }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -64,6 +64,11 @@
         is StateChange.Suspended -> write("suspended", "unseen" to change.unseen)
         is StateChange.UpstreamsReached -> write("upstreams-reached", "reached" to change.reached)
         is StateChange.StoreReachable -> write("store-reachable", "reachable" to change.reachable)
+        is StateChange.StoreReading -> write(
+            "store-reading",
+            "reading" to change.isReading,
+            "newsAgeMillis" to change.newsAge.inWholeMilliseconds,
+        )
         is StateChange.WatchEnded -> writeWatchEnd(change)
     }
 
