--- a/cicadagauge-api/src/main/kotlin/cicadagauge/declaration/Declaration.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/declaration/Declaration.kt
@@ -114,6 +114,8 @@
  * @property open whether requests are accepted without a customer's key.
  * @property prefix host and path prefix to match instead of [methods] and [path].
  * @property split pools among which the requests are divided by weight; if empty, all go to [pool].
+ * @property targetLatency time from a caller's first attempt within which an answer is in time; null if any answer
+ * before the deadline is. Where upstreams are short, requests that can be answered in time go first.
  * @property maxAttempts maximum number of times that an idempotent request may run at upstreams.
  */
 public data class Route(
@@ -129,6 +131,7 @@
     val prefix: HostPrefix? = null,
     val split: List<PoolShare> = emptyList(),
     val maxAttempts: Int = DeclarationDefaults.MAX_ATTEMPTS,
+    val targetLatency: Duration? = null,
 )
 
 /**
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/RelayedRequest.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/RelayedRequest.kt
@@ -5,6 +5,7 @@
 import cicadagauge.identity.CustomerName
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.Slot
+import kotlin.time.Duration
 
 /**
  * The parameters of a request that another VM has admitted, as its home VM needs them to schedule it.
@@ -14,6 +15,8 @@
  * @property zone availability zone whose upstreams may serve a request without a [slot], or null.
  * @property maySpill whether the home VM refuses the request rather than queueing it for long, because the admitting VM
  * can try another zone.
+ * @property targetLeft time within which an answer is in time, negative if it is late already; null if any answer
+ * before the deadline is in time.
  */
 public data class RelayedRequest(
     val pool: PoolName,
@@ -24,4 +27,5 @@
     val maxRuns: Int,
     val zone: AvailabilityZone?,
     val maySpill: Boolean,
+    val targetLeft: Duration? = null,
 )
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -153,6 +153,8 @@
      *
      * @property customer customer that sent the request; `-` on an open route.
      * @property timeLeft time until the request's deadline.
+     * @property targetLeft time within which an answer is in time, negative if it is late already; null if any answer
+     * before the deadline is in time.
      * @property zone availability zone whose upstreams may serve a request without a [slot], or null.
      * @property maySpill whether the home VM refuses the request rather than queueing it for long, because the sender
      * can try another zone.
@@ -168,6 +170,7 @@
         val timeLeft: Duration,
         val zone: AvailabilityZone?,
         val maySpill: Boolean,
+        val targetLeft: Duration? = null,
     ) : PeerMessage
 
     /** Grants the permit for a [Reserve]: the request may be sent to [upstream] now. */
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
@@ -8,6 +8,7 @@
 import cicadagauge.declaration.Declaration
 import cicadagauge.declaration.Placement
 import cicadagauge.declaration.Pool
+import cicadagauge.declaration.Route
 import cicadagauge.dispatch.Dispatcher
 import cicadagauge.dispatch.PendingRequest
 import cicadagauge.identity.Moment
@@ -74,6 +75,7 @@
             customer = customer?.name ?: PendingRequest.NO_CUSTOMER,
             slot = slot.takeIf { match.pool.keyed },
             deadline = now + minOf(limit, route.deadline) - head.readLag,
+            inTimeBy = inTimeBy(route, limit, now - head.readLag),
             maxRuns = route.maxAttempts,
             head = RequestDigests.of(head),
             zoneSelector = dispatcher.homeDirectory.zoneSelectorFor(match.pool),
@@ -82,6 +84,15 @@
         budgets.admit(customer.name, request.deadline, Decision(request), now)
     }
 
+    /**
+     * Until when an answer to a request that arrived at [arrival] is in time. A caller who comes back after a refusal
+     * sends the time that it has left, so what [limit] is below the route's deadline counts as already waited.
+     */
+    private fun inTimeBy(route: Route, limit: Duration, arrival: Moment): Moment? {
+        val waited = maxOf(Duration.ZERO, route.deadline - limit)
+        return route.targetLatency?.let { arrival + it - waited }
+    }
+
     private fun refusalFor(
         match: RouteMatch.Found,
         isAllowed: Boolean,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -123,6 +123,7 @@
             customer = relayed.customer,
             slot = relayed.slot?.takeIf { it.index < pool.slots },
             deadline = now + timeLeft - settings.relayMargin,
+            inTimeBy = relayed.targetLeft?.let { now + it },
             isRelayedHere = true,
             maxRuns = relayed.maxRuns,
             head = RequestDigests.of(head),
@@ -288,6 +289,7 @@
             requestClass = request.requestClass,
             customer = request.customer,
             timeLeft = request.deadline - now,
+            targetLeft = request.inTimeBy?.let { it - now },
             zone = request.zoneSelector.zone,
             maySpill = request.zoneSelector.maySpill,
         )
@@ -320,6 +322,7 @@
             maxRuns = request.maxRuns - request.runs,
             zone = request.zoneSelector.zone,
             maySpill = request.zoneSelector.maySpill,
+            targetLeft = request.inTimeBy?.let { it - now },
         )
         // Wait past the deadline: the home answers before it, and only the home knows whether the request has run.
         val giveUpAt = request.deadline + settings.relayMargin
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/HomeSchedulers.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/HomeSchedulers.kt
@@ -57,6 +57,7 @@
             requestClass = message.requestClass,
             customer = message.customer,
             deadline = now + message.timeLeft,
+            inTimeBy = now + (message.targetLeft ?: message.timeLeft),
             zone = message.zone,
             maySpill = message.maySpill,
             since = now,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PendingRequest.kt
@@ -18,6 +18,7 @@
  * A request that a VM has accepted and not yet answered.
  *
  * @property slot the slot of the request's key; null for a pool without keys
+ * @property inTimeBy until when an answer is in time; null if any answer before the deadline is
  * @property isRelayedHere whether another VM admitted the request and relayed it here. This VM then acts as its home,
  *     even if by its own view of the VMs another one is.
  * @property maxRuns how many attempts may have run at an upstream before the request is no longer retried
@@ -32,6 +33,7 @@
     val customer: CustomerName,
     val slot: Slot?,
     val deadline: Moment,
+    val inTimeBy: Moment? = null,
     val isRelayedHere: Boolean = false,
     val maxRuns: Int = DeclarationDefaults.MAX_ATTEMPTS,
     val head: HeadDigest,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
@@ -32,6 +32,7 @@
  * @property entry the VM that asks
  * @property slot the slot of the request's key; null for a pool without keys
  * @property zone the availability zone that is to serve a request without a key
+ * @property inTimeBy until when an answer is in time; later ones are worth less to the caller
  * @property maySpill whether the request should rather be denied than wait long, because it can try another zone
  * @property since when the reservation arrived
  */
@@ -42,10 +43,14 @@
     override val requestClass: RequestClass,
     override val customer: CustomerName,
     val deadline: Moment,
+    val inTimeBy: Moment,
     val zone: AvailabilityZone?,
     val maySpill: Boolean,
     val since: Moment,
-) : FairQueue.Item
+) : FairQueue.Item {
+    /** Whether there are answers before the deadline that are not in time. */
+    val hasTarget: Boolean get() = inTimeBy < deadline
+}
 
 /**
  * What a queued request waits for: the upstream [owner], or any upstream in [zone]. With neither, it waits until its
@@ -74,7 +79,8 @@
     private val poolDurations = DurationAverage()
     private val usable = HashSet<UpstreamId>()
     private val outOfService = OutOfServiceTimes(settings)
-    private val queues = HashMap<Target, FairQueue<Reservation>>()
+    private val queues = HashMap<Target, WaitingRequests>()
+    private val expectedReturns = HashMap<Target, ExpectedReturns>()
     private val permits = HashMap<ReservationKey, Permit>()
     private val queued = HashSet<ReservationKey>()
     private val requestsPerBucket = HashMap<Int, Int>()
@@ -108,10 +114,11 @@
         if (key in queued) return
         countRequest(reservation)
         val target = targetOf(reservation)
-        val queue = queues.getOrPut(target) { FairQueue() }
-        val refusal = denialFor(reservation, target, queue, now)
+        val queue = queues.getOrPut(target) { WaitingRequests() }
+        val forecast = forecast(target, now)
+        val refusal = denialFor(reservation, target, queue, forecast, now)
         if (refusal != null) return output.denied(reservation, refusal, now)
-        queue.add(reservation)
+        queue.add(reservation, forecast, now)
         queued += key
         grantPermits(target, now)
     }
@@ -138,7 +145,10 @@
         val waiting = queues.values.flatMap { it.drain() }
         queues.clear()
         loads.values.forEach { it.endPause() }
-        waiting.forEach { queues.getOrPut(targetOf(it)) { FairQueue() }.add(it) }
+        for (reservation in waiting) {
+            val target = targetOf(reservation)
+            queues.getOrPut(target) { WaitingRequests() }.add(reservation, forecast(target, now), now)
+        }
         queues.keys.toList().forEach { grantPermits(it, now) }
     }
 
@@ -254,67 +264,55 @@
     private fun denialFor(
         reservation: Reservation,
         target: Target,
-        queue: FairQueue<Reservation>,
+        queue: WaitingRequests,
+        forecast: ServiceForecast,
         now: Moment,
     ): Refusal? {
         if (!pool.keyed && target.zone?.let(::usableIn).isNullOrEmpty()) {
             return Refusal(Reason.NoUpstream, "the pool has no upstream in service")
         }
+        val wait = queue.expectedWait(reservation, forecast, now)
         if (queue.countOf(reservation.customer) >= settings.customerQueueLimit ||
             queued.size >= settings.poolQueueLimit
         ) {
-            return Refusal(Reason.Overloaded, "too many requests wait", expectedWait(target, reservation, queue, now))
+            return Refusal(Reason.Overloaded, "too many requests wait", returnAfter(target, wait, forecast, now))
         }
         if (isOutOfService(target, now)) return OUT_OF_SERVICE
         if (isStalled(target, now)) return STALLED
-        val wait = expectedWait(target, reservation, queue, now)
         if (reservation.maySpill && wait > settings.spillWait) {
             return Refusal(Reason.Overloaded, "another zone may be sooner", wait)
         }
-        if (now + wait + averageDurationAt(target, now) * MIN_RUN_FRACTION <= reservation.deadline) return null
-        return Refusal(Reason.Overloaded, "the queue is longer than the deadline", wait)
+        if (now + wait + forecast.shortestRun <= reservation.deadline) return null
+        val retryAfter = returnAfter(target, wait, forecast, now)
+        return Refusal(Reason.Overloaded, "the queue is longer than the deadline", retryAfter)
     }
 
-    private fun expectedWait(
-        target: Target,
-        reservation: Reservation,
-        queue: FairQueue<Reservation>,
-        now: Moment,
-    ): Duration = waitEstimator(target, now)(queue.countAhead(reservation.requestClass, reservation.customer))
+    private fun forecast(target: Target, now: Moment) = ServiceForecast.of(upstreamsOf(target), now)
 
-    /** Returns a function that estimates the wait at [target] from the number of requests ahead. */
-    private fun waitEstimator(target: Target, now: Moment): (ahead: Int) -> Duration {
-        val serving = upstreamsOf(target)
-        if (serving.isEmpty()) return { Duration.ZERO }
-        return ServiceForecast.of(serving, now)::waitBehind
-    }
+    /** After how long a caller who is refused now, because the wait is [wait], should come back. */
+    private fun returnAfter(target: Target, wait: Duration, forecast: ServiceForecast, now: Moment): Duration =
+        expectedReturns.getOrPut(target) { ExpectedReturns() }.next(wait, forecast.averageRate, now)
 
-    /** Denies the requests that can no longer be answered in time, because too many others have overtaken them. */
-    private fun denyUnservable(target: Target, queue: FairQueue<Reservation>, now: Moment) {
-        val run = averageDurationAt(target, now) * MIN_RUN_FRACTION
-        val wait = waitEstimator(target, now)
-        val unservable = queue.removeByPosition { reservation, ahead ->
-            now + wait(ahead) + run > reservation.deadline + DENIAL_MARGIN
+    /** Denies the requests that can no longer be answered before their deadlines, because too many others go first. */
+    private fun denyUnservable(target: Target, queue: WaitingRequests, now: Moment) {
+        val forecast = forecast(target, now)
+        val unservable = queue.replan(forecast, now)
+        val wait = queue.longestWait(forecast, now)
+        for (reservation in unservable) {
+            val retryAfter = returnAfter(target, wait, forecast, now)
+            deny(reservation, Refusal(Reason.Overloaded, "others went before it", retryAfter), now)
         }
-        val refusal = Refusal(Reason.Overloaded, "others went before it", wait(queue.size))
-        unservable.forEach { deny(it, refusal, now) }
     }
 
     private fun upstreamsOf(target: Target): List<UpstreamLoad> =
         target.zone?.let(::usableIn) ?: listOfNotNull(loads[target.owner])
 
-    /** The average duration of a request at [target]. */
-    private fun averageDurationAt(target: Target, now: Moment): Duration {
-        val serving = upstreamsOf(target)
-        if (serving.isEmpty()) return Duration.ZERO
-        return serving.fold(Duration.ZERO) { sum, load -> sum + load.averageDuration(now) } / serving.size
-    }
-
     /** Removes and returns the next request that can still be answered in time; denies those before it. */
-    private fun pollServable(queue: FairQueue<Reservation>, load: UpstreamLoad, now: Moment): Reservation? {
+    private fun pollServable(queue: WaitingRequests, load: UpstreamLoad, now: Moment): Reservation? {
         while (true) {
-            val reservation = queue.poll() ?: return null
-            if (now + load.averageDuration(now) * MIN_RUN_FRACTION <= reservation.deadline) return reservation
+            val duration = load.averageDuration(now)
+            val reservation = queue.poll(duration, now) ?: return null
+            if (now + duration * ServiceForecast.MIN_RUN_FRACTION <= reservation.deadline) return reservation
             deny(reservation, DEADLINE_BEFORE_RUN, now)
         }
     }
@@ -324,15 +322,8 @@
     private class Permit(val upstream: UpstreamId, val since: Moment, val expiresAt: Moment)
 
     private companion object {
-        /**
-         * The fraction of the average duration that must be left before the deadline for a request to start. With less
-         * time it would most likely only use up a permit.
-         */
-        const val MIN_RUN_FRACTION = 0.7
         val RETRY_AFTER: Duration = 200.milliseconds
 
-        /** A queued request is not denied when the estimate exceeds its deadline only slightly. */
-        val DENIAL_MARGIN: Duration = 30.milliseconds
         val NO_CURRENT_OWNER = Target(owner = null)
         val DEADLINE_BEFORE_RUN =
             Refusal(Reason.DeadlineBeforeRun, "the deadline came before a place was free", RETRY_AFTER)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/ServiceForecast.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/ServiceForecast.kt
@@ -13,14 +13,22 @@
  * @property pause time until the first of the upstreams accepts requests again.
  * @property presentRate requests per second that the upstreams serve while their hosts stay as slow as they are.
  * @property averageRate requests per second that they serve on average.
+ * @property duration average duration of a request at them.
  * @property isFree whether one of them can take a request now.
  */
 internal data class ServiceForecast(
     val pause: Duration,
     val presentRate: Double,
     val averageRate: Double,
+    val duration: Duration,
     val isFree: Boolean,
 ) {
+    /**
+     * The time that must be left before the deadline for a request to start. With less it would most likely only use
+     * up a permit.
+     */
+    val shortestRun: Duration get() = duration * MIN_RUN_FRACTION
+
     /** The expected wait of a request that is served after [ahead] others. */
     fun waitBehind(ahead: Int): Duration {
         if (ahead == 0 && isFree) return Duration.ZERO
@@ -34,14 +42,31 @@
     }
 
     companion object {
-        /** The forecast for [upstreams], of which there must be at least one. */
-        fun of(upstreams: List<UpstreamLoad>, now: Moment): ServiceForecast = ServiceForecast(
-            pause = upstreams.minOf { it.remainingPause(now) },
-            presentRate = upstreams.sumOf { it.expectedRate(now) },
-            averageRate = upstreams.sumOf { it.averageRate(now) },
-            isFree = upstreams.any { it.hasCapacity(now) },
+        /** The forecast for [upstreams]. */
+        fun of(upstreams: List<UpstreamLoad>, now: Moment): ServiceForecast = if (upstreams.isEmpty()) {
+            NONE
+        } else {
+            ServiceForecast(
+                pause = upstreams.minOf { it.remainingPause(now) },
+                presentRate = upstreams.sumOf { it.expectedRate(now) },
+                averageRate = upstreams.sumOf { it.averageRate(now) },
+                duration = upstreams.fold(Duration.ZERO) { sum, it -> sum + it.averageDuration(now) } / upstreams.size,
+                isFree = upstreams.any { it.hasCapacity(now) },
+            )
+        }
+
+        /** The forecast while no upstream serves the queue: its requests wait until one does. */
+        val NONE = ServiceForecast(
+            pause = Duration.ZERO,
+            presentRate = Double.POSITIVE_INFINITY,
+            averageRate = Double.POSITIVE_INFINITY,
+            duration = Duration.ZERO,
+            isFree = false,
         )
 
+        /** The fraction of the average duration that must be left before the deadline for a request to start. */
+        const val MIN_RUN_FRACTION = 0.7
+
         /** With all permits taken, the first is free after half the interval between two completions on average. */
         private const val MEAN_COMPLETION_FRACTION = 0.5
 
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
@@ -94,6 +94,7 @@
     fun submit(
         now: Moment,
         deadline: Duration = 500.milliseconds,
+        target: Duration = deadline,
         slot: Slot? = null,
         maySpill: Boolean = false,
         requestClass: RequestClass = RequestClass.Normal,
@@ -105,6 +106,7 @@
             requestClass = requestClass,
             customer = CustomerName("c"),
             deadline = now + deadline,
+            inTimeBy = now + minOf(deadline, target),
             zone = ZONE.takeIf { slot == null },
             maySpill = maySpill,
             since = now,
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/RelayHeader.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/RelayHeader.kt
@@ -6,10 +6,11 @@
 import cicadagauge.identity.PoolName
 import cicadagauge.identity.Slot
 import cicadagauge.node.RelayedRequest
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Encodes a [RelayedRequest] as one header value: pool, slot, class, customer, idempotence, maximum number of runs,
- * zone and whether it may spill over, separated by semicolons.
+ * zone, whether it may spill over, and the milliseconds left until the target latency, separated by semicolons.
  */
 internal object RelayHeader {
     /** The header value for [request]. */
@@ -24,6 +25,7 @@
             request.maxRuns,
             request.zone?.value.orEmpty(),
             request.maySpill,
+            request.targetLeft?.inWholeMilliseconds?.toString().orEmpty(),
         ).joinToString(";")
     }
 
@@ -41,8 +43,9 @@
             maxRuns = texts.next().toIntOrNull() ?: return null,
             zone = texts.next().takeIf { it.isNotEmpty() }?.let(::AvailabilityZone),
             maySpill = texts.next().toBooleanStrictOrNull() ?: return null,
+            targetLeft = texts.next().toLongOrNull()?.milliseconds,
         )
     }
 
-    private const val FIELDS = 8
+    private const val FIELDS = 9
 }
