--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/RequestAdmission.kt
@@ -75,7 +75,7 @@
             customer = customer?.name ?: PendingRequest.NO_CUSTOMER,
             slot = slot.takeIf { match.pool.keyed },
             deadline = now + minOf(limit, route.deadline) - head.readLag,
-            inTimeBy = inTimeBy(route, limit, now - head.readLag),
+            inTimeBy = route.inTimeBy(limit, now - head.readLag),
             maxRuns = route.maxAttempts,
             head = RequestDigests.of(head),
             zoneSelector = dispatcher.homeDirectory.zoneSelectorFor(match.pool),
@@ -84,15 +84,6 @@
         budgets.admit(customer.name, request.deadline, Decision(request), now)
     }
 
-    /**
-     * Until when an answer to a request that arrived at [arrival] is in time. A caller who comes back after a refusal
-     * sends the time that it has left, so what [limit] is below the route's deadline counts as already waited.
-     */
-    private fun inTimeBy(route: Route, limit: Duration, arrival: Moment): Moment? {
-        val waited = maxOf(Duration.ZERO, route.deadline - limit)
-        return route.targetLatency?.let { arrival + it - waited }
-    }
-
     private fun refusalFor(
         match: RouteMatch.Found,
         isAllowed: Boolean,
@@ -136,3 +127,13 @@
         }
     }
 }
+
+/**
+ * Until when an answer to a request that arrived at [arrival] is in time, or null if any answer before the deadline is.
+ * A caller who comes back after a refusal sends the time that it has left, so what [limit] is below the route's
+ * deadline counts as time that the caller has waited already.
+ */
+internal fun Route.inTimeBy(limit: Duration, arrival: Moment): Moment? {
+    val waited = maxOf(Duration.ZERO, deadline - limit)
+    return targetLatency?.let { arrival + it - waited }
+}
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Scheduler.kt
@@ -50,6 +50,18 @@
 ) : FairQueue.Item {
     /** Whether there are answers before the deadline that are not in time. */
     val hasTarget: Boolean get() = inTimeBy < deadline
+
+    /**
+     * The latest moment at which the request may start, if it runs for [duration] on average. Started later, it would
+     * most likely only use up a permit. Where late answers are worth less, that is not risked.
+     */
+    fun latestStart(duration: Duration): Moment =
+        deadline - duration * (if (hasTarget) RUN_FACTOR_WITH_TARGET else MIN_RUN_FRACTION)
+
+    private companion object {
+        const val MIN_RUN_FRACTION = 0.7
+        const val RUN_FACTOR_WITH_TARGET = 1.2
+    }
 }
 
 /**
@@ -282,7 +294,7 @@
         if (reservation.maySpill && wait > settings.spillWait) {
             return Refusal(Reason.Overloaded, "another zone may be sooner", wait)
         }
-        if (now + wait + forecast.shortestRun <= reservation.deadline) return null
+        if (now + wait <= reservation.latestStart(forecast.duration)) return null
         val retryAfter = returnAfter(target, wait, forecast, now)
         return Refusal(Reason.Overloaded, "the queue is longer than the deadline", retryAfter)
     }
@@ -312,7 +324,7 @@
         while (true) {
             val duration = load.averageDuration(now)
             val reservation = queue.poll(duration, now) ?: return null
-            if (now + duration * ServiceForecast.MIN_RUN_FRACTION <= reservation.deadline) return reservation
+            if (now <= reservation.latestStart(duration)) return reservation
             deny(reservation, DEADLINE_BEFORE_RUN, now)
         }
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/ServiceForecast.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/ServiceForecast.kt
@@ -23,12 +23,6 @@
     val duration: Duration,
     val isFree: Boolean,
 ) {
-    /**
-     * The time that must be left before the deadline for a request to start. With less it would most likely only use
-     * up a permit.
-     */
-    val shortestRun: Duration get() = duration * MIN_RUN_FRACTION
-
     /** The expected wait of a request that is served after [ahead] others. */
     fun waitBehind(ahead: Int): Duration {
         if (ahead == 0 && isFree) return Duration.ZERO
@@ -50,7 +44,7 @@
                 pause = upstreams.minOf { it.remainingPause(now) },
                 presentRate = upstreams.sumOf { it.expectedRate(now) },
                 averageRate = upstreams.sumOf { it.averageRate(now) },
-                duration = upstreams.fold(Duration.ZERO) { sum, it -> sum + it.averageDuration(now) } / upstreams.size,
+                duration = upstreams.map { it.averageDuration(now) }.reduce(Duration::plus) / upstreams.size,
                 isFree = upstreams.any { it.hasCapacity(now) },
             )
         }
@@ -64,9 +58,6 @@
             isFree = false,
         )
 
-        /** The fraction of the average duration that must be left before the deadline for a request to start. */
-        const val MIN_RUN_FRACTION = 0.7
-
         /** With all permits taken, the first is free after half the interval between two completions on average. */
         private const val MEAN_COMPLETION_FRACTION = 0.5
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/WaitingRequests.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/WaitingRequests.kt
@@ -43,7 +43,7 @@
     fun poll(duration: Duration, now: Moment): Reservation? {
         while (true) {
             val reservation = timely.poll() ?: return late.poll()
-            if (now <= latestStart(reservation, duration)) return reservation
+            if (now <= latestTimelyStart(reservation, duration)) return reservation
             late.add(reservation)
         }
     }
@@ -54,7 +54,7 @@
      */
     fun replan(forecast: ServiceForecast, now: Moment): List<Reservation> {
         timely.removeByPosition { reservation, ahead ->
-            now + forecast.waitBehind(ahead) > latestStart(reservation, forecast.duration)
+            now + forecast.waitBehind(ahead) > latestTimelyStart(reservation, forecast.duration)
         }.forEach(late::add)
         var promoted = 0
         late.removeIf { reservation ->
@@ -62,7 +62,8 @@
             isTimely(reservation, wait, forecast, now).also { if (it) promoted++ }
         }.forEach(timely::add)
         return late.removeByPosition { reservation, ahead ->
-            now + lateWait(ahead, forecast, now) + forecast.shortestRun > reservation.deadline + DENIAL_MARGIN
+            val margin = if (reservation.hasTarget) Duration.ZERO else DENIAL_MARGIN
+            now + lateWait(ahead, forecast, now) > reservation.latestStart(forecast.duration) + margin
         }
     }
 
@@ -81,15 +82,12 @@
 
     private fun isTimely(reservation: Reservation, wait: Duration, forecast: ServiceForecast, now: Moment): Boolean {
         val margin = if (reservation.hasTarget) ESTIMATE_MARGIN else 1.0
-        return now + wait * margin <= latestStart(reservation, forecast.duration)
+        return now + wait * margin <= latestTimelyStart(reservation, forecast.duration)
     }
 
     /** The latest moment at which [reservation] can be started to be timely, if it runs for [duration]. */
-    private fun latestStart(reservation: Reservation, duration: Duration): Moment = if (reservation.hasTarget) {
-        reservation.inTimeBy - duration
-    } else {
-        reservation.deadline - duration * ServiceForecast.MIN_RUN_FRACTION
-    }
+    private fun latestTimelyStart(reservation: Reservation, duration: Duration): Moment =
+        if (reservation.hasTarget) reservation.inTimeBy - duration else reservation.latestStart(duration)
 
     /** The wait behind all timely requests and [ahead] late ones, while further timely requests go before them. */
     private fun lateWait(ahead: Int, forecast: ServiceForecast, now: Moment): Duration {
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/admission/RequestAdmissionTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/admission/RequestAdmissionTest.kt
@@ -39,6 +39,7 @@
 import java.security.MessageDigest
 import java.util.HexFormat
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 private const val KEY = "key"
 
@@ -148,4 +149,19 @@
             fixture.configure(requiresCustomerKey = false)
             fixture.outcomeOf(key = null).refusedFor shouldBe null
         }
+
+        test("time that a caller has waited before it came back counts toward the target latency") {
+            val route = Route(
+                name = RouteName("r"),
+                path = "",
+                methods = emptySet(),
+                pool = PoolName("p"),
+                deadline = 1.5.seconds,
+                targetLatency = 0.6.seconds,
+            )
+            route.inTimeBy(limit = 1.5.seconds, Moment.ZERO) shouldBe Moment.ZERO + 0.6.seconds
+            route.inTimeBy(limit = 1.2.seconds, Moment.ZERO) shouldBe Moment.ZERO + 0.3.seconds
+            route.inTimeBy(limit = 9.seconds, Moment.ZERO) shouldBe Moment.ZERO + 0.6.seconds
+            route.copy(targetLatency = null).inTimeBy(limit = 1.2.seconds, Moment.ZERO) shouldBe null
+        }
     })
