--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/ServiceForecast.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/ServiceForecast.kt
@@ -13,12 +13,14 @@
  * @property pause time until the first of the upstreams accepts requests again.
  * @property presentRate requests per second that the upstreams serve while their hosts stay as slow as they are.
  * @property averageRate requests per second that they serve on average.
+ * @property duration average duration of a request at them.
  * @property isFree whether one of them can take a request now.
  */
 internal data class ServiceForecast(
     val pause: Duration,
     val presentRate: Double,
     val averageRate: Double,
+    val duration: Duration,
     val isFree: Boolean,
 ) {
     /** The expected wait of a request that is served after [ahead] others. */
@@ -34,12 +36,26 @@
     }
 
     companion object {
-        /** The forecast for [upstreams], of which there must be at least one. */
-        fun of(upstreams: List<UpstreamLoad>, now: Moment): ServiceForecast = ServiceForecast(
-            pause = upstreams.minOf { it.remainingPause(now) },
-            presentRate = upstreams.sumOf { it.expectedRate(now) },
-            averageRate = upstreams.sumOf { it.averageRate(now) },
-            isFree = upstreams.any { it.hasCapacity(now) },
+        /** The forecast for [upstreams]. */
+        fun of(upstreams: List<UpstreamLoad>, now: Moment): ServiceForecast = if (upstreams.isEmpty()) {
+            NONE
+        } else {
+            ServiceForecast(
+                pause = upstreams.minOf { it.remainingPause(now) },
+                presentRate = upstreams.sumOf { it.expectedRate(now) },
+                averageRate = upstreams.sumOf { it.averageRate(now) },
+                duration = upstreams.map { it.averageDuration(now) }.reduce(Duration::plus) / upstreams.size,
+                isFree = upstreams.any { it.hasCapacity(now) },
+            )
+        }
+
+        /** The forecast while no upstream serves the queue: its requests wait until one does. */
+        val NONE = ServiceForecast(
+            pause = Duration.ZERO,
+            presentRate = Double.POSITIVE_INFINITY,
+            averageRate = Double.POSITIVE_INFINITY,
+            duration = Duration.ZERO,
+            isFree = false,
         )
 
         /** With all permits taken, the first is free after half the interval between two completions on average. */
