Ranges: a renewal sent while the record is being written counts for the former owner's hold

Cause: a range that moves waits for the end of its former owner's hold. That end was taken from the last accepted renewal; one sent while the record was being written, and not answered yet when the record came into force, was left out. If the former owner could not release the range, the new one was granted it up to one renewal interval early.

Change: the hold of the former owner counts with the order in flight, as it did for a part that stays. A range whose hold is over gets no order while a record is being written that may give it to another owner.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
@@ -92,6 +92,8 @@
     /** Sends the next order for [state], if one is due. */
     private fun advance(state: RangeState, now: Moment) {
         if (isStopped || state.isOrderInFlight || now < state.nextOrderAt || !mayOrder(now)) return
+        // The record that is being written may assign a range whose hold is over to another owner.
+        if (isWriting && state.endOfHold(now) != null) return
         val isGivenUp = state.isLost(now, times.maxSilence) && !(state.isRefusing && state.endOfHold(now) == null)
         if (isGivenUp) return
         val restartedOwner = restartedOwnerOf(state)
@@ -202,7 +204,7 @@
         val source = currentStateOf(range.slots)
         val stays = source != null && source.range.fence == range.fence && source.range.owner == range.owner
         if (source == null || !stays) {
-            val lapse = if (source == null || range.former == null) now else maxOf(now, source.lapsesAt)
+            val lapse = if (source == null || range.former == null) now else source.longestHold(maxGrantTime, now)
             return RangeState(range, lapsesAt = now, formerLapsesAt = lapse)
         }
         if (source.range.slots != range.slots) return source.part(range, maxGrantTime, now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeState.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeState.kt
@@ -160,13 +160,13 @@
         formerLapsesAt = minOf(formerLapsesAt, moment)
     }
 
-    /**
-     * The state of [part], a part of this range that stays with its owner. With an order in flight the hold may last
-     * until [maxGrantTime] after [now].
-     */
+    /** When the owner's hold is over; with an order in flight it may last until [maxGrantTime] after [now]. */
+    fun longestHold(maxGrantTime: Duration, now: Moment): Moment =
+        if (isOrderInFlight) maxOf(lapsesAt, now + maxGrantTime) else lapsesAt
+
+    /** The state of [part], a part of this range that stays with its owner, see [longestHold]. */
     fun part(part: OwnedRange, maxGrantTime: Duration, now: Moment): RangeState {
-        val lapse = if (isOrderInFlight) maxOf(lapsesAt, now + maxGrantTime) else lapsesAt
-        val state = RangeState(part, lapse, formerLapsesAt)
+        val state = RangeState(part, longestHold(maxGrantTime, now), formerLapsesAt)
         state.isClaimed = isClaimed
         state.failingSince = failingSince
         state.isReplaced = isReplaced
