--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/Event.kt
@@ -11,6 +11,7 @@
 import cicadagauge.ownership.RangeOrderOutcome
 import cicadagauge.peer.PeerMessage
 import cicadagauge.store.StoreCallId
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreReply
 import kotlin.time.Duration
 
@@ -59,8 +60,12 @@
     /** The outcome of the order that was sent by [Effect.SendRangeOrder]. */
     public data class RangeOrderEnded(val id: RangeOrderId, val outcome: RangeOrderOutcome) : Event
 
-    /** The platform store answered a call, or the call timed out. */
-    public data class StoreReplied(val call: StoreCallId, val reply: StoreReply) : Event
+    /**
+     * The platform store answered a call, or the call timed out.
+     *
+     * @property era era that the answer tells; null if it tells none, or there was no answer.
+     */
+    public data class StoreReplied(val call: StoreCallId, val reply: StoreReply, val era: StoreEra? = null) : Event
 
     /** A message arrived from another VM, which the driver has authenticated. */
     public data class PeerMessageReceived(val from: VmId, val message: PeerMessage) : Event
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -9,6 +9,7 @@
 import cicadagauge.identity.UpstreamId
 import cicadagauge.identity.VmId
 import cicadagauge.peer.CrashRecord
+import cicadagauge.store.StoreEra
 import kotlin.time.Duration
 
 /** A change of a node's state; each is logged as one line. */
@@ -77,6 +78,13 @@
     /** The platform store started or stopped answering this VM. */
     public data class StoreReachable(val reachable: Boolean) : StateChange
 
+    /**
+     * The platform store has come back from an older copy: its era was [previous] and is [era]. This VM writes again
+     * what [writtenAgain] names.
+     */
+    public data class StoreEraChanged(val previous: StoreEra, val era: StoreEra, val writtenAgain: List<String>) :
+        StateChange
+
     /** A watch of the entries under [prefix] ended with [result], [waited] after it was sent. */
     public data class WatchEnded(val prefix: String, val result: WatchResult, val waited: Duration) : StateChange
 }
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ownership.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/ownership/Ownership.kt
@@ -28,6 +28,8 @@
  * @property ranges owned ranges in ascending order; empty if the pool is placed by hashing.
  * @property backedElsewhere whether [allocator] and all [predecessors], while the store does not answer, renew leases
  * only if a VM in another availability zone than their own has promised not to take the duty.
+ * @property isUnsettled whether upstreams may hold slots of which no record tells, because the store has lost records
+ * of an earlier era.
  */
 @Serializable
 public data class OwnershipRecord(
@@ -41,6 +43,7 @@
     val predecessors: Set<VmId> = emptySet(),
     val ranges: List<OwnedRange> = emptyList(),
     val backedElsewhere: Boolean = false,
+    val isUnsettled: Boolean = false,
 ) {
     /** Whether this record is newer than [other]: of a higher term, or of a higher version in the same term. */
     public fun replaces(other: OwnershipRecord?): Boolean =
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -23,7 +23,9 @@
 import cicadagauge.ownership.OwnershipRecord
 import cicadagauge.ownership.UpstreamTime
 import cicadagauge.store.StoreEntry
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreKey
+import cicadagauge.store.StorePosition
 import cicadagauge.store.StoreRevision
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -47,6 +49,7 @@
      * Lists the versions that the sender has, so that the receiver can send what is newer.
      *
      * @property quarantine digest of the sender's [CrashSuspicion]s; zero if it has none.
+     * @property era latest era of the store that the sender knows.
      */
     @Serializable
     @SerialName("Digest")
@@ -55,15 +58,21 @@
         val records: List<RecordDigest>,
         val prefixes: List<PrefixDigest> = emptyList(),
         val quarantine: Long = 0,
+        val era: StoreEra = StoreEra.FIRST,
     ) : PeerMessage
 
+    /** Announces that the store has come back from an older copy, and is in [era] now. */
+    @Serializable
+    @SerialName("NewEra")
+    public data class NewEra(val era: StoreEra) : PeerMessage
+
     /** Passes on which requests may have crashed upstreams. */
     @Serializable
     @SerialName("QuarantineUpdate")
     public data class QuarantineUpdate(val suspicions: List<CrashSuspicion>) : PeerMessage
 
     /**
-     * Passes on the store's entries under [prefix], as of revision [upTo].
+     * Passes on the store's entries under [prefix], as of revision [upTo] in [era].
      *
      * @property entries entries that have changed since the receiver's digest.
      * @property keys keys of all entries under [prefix]; those that are not listed have been deleted.
@@ -75,7 +84,11 @@
         val upTo: StoreRevision,
         val entries: List<StoreEntry>,
         val keys: List<StoreKey>,
-    ) : PeerMessage
+        val era: StoreEra = StoreEra.FIRST,
+    ) : PeerMessage {
+        /** The position in the store's history up to which the update goes. */
+        val position: StorePosition get() = StorePosition(era, upTo)
+    }
 
     /**
      * Asks the coordinator of a customer's budget for up to [demand] tokens of one request each. The coordinator is the
@@ -292,9 +305,12 @@
     Unused,
 }
 
-/** The revision of the latest change under [prefix] that the sender of a [PeerMessage.Digest] knows. */
+/** The revision and [era] of the latest change under [prefix] that the sender of a [PeerMessage.Digest] knows. */
 @Serializable
-public data class PrefixDigest(val prefix: String, val latest: StoreRevision)
+public data class PrefixDigest(val prefix: String, val latest: StoreRevision, val era: StoreEra = StoreEra.FIRST) {
+    /** The position of that change in the store's history. */
+    val position: StorePosition get() = StorePosition(era, latest)
+}
 
 /** The version of one pool's ownership record in a [PeerMessage.Digest]. */
 @Serializable
--- a/cicadagauge-api/src/main/kotlin/cicadagauge/store/Store.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/store/Store.kt
@@ -14,7 +14,10 @@
     override fun toString(): String = value
 }
 
-/** The revision at which a value was last written. Revisions rise with each write of any value in the store. */
+/**
+ * The revision at which a value was last written. Within a [StoreEra], revisions rise with each write of any value in
+ * the store.
+ */
 @JvmInline
 @Serializable
 public value class StoreRevision(public val value: Long) : Comparable<StoreRevision> {
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/Main.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/Main.kt
@@ -4,6 +4,7 @@
 package cicadagauge.bench
 
 import cicadagauge.bench.capacity.CapacityExperiment
+import cicadagauge.bench.era.ErasExperiment
 import cicadagauge.bench.outcomes.OutcomesExperiment
 import cicadagauge.bench.ownership.FaultsExperiment
 import cicadagauge.bench.ownership.OwnershipExperiment
@@ -23,9 +24,10 @@
         "path" -> PathExperiment(options).run()
         "outcomes" -> OutcomesExperiment(options).run()
         "faults" -> FaultsExperiment(options).run()
+        "eras" -> ErasExperiment(options).run()
         else -> {
             System.err.println(
-                "usage: bin/bench ownership|faults|outcomes|capacity|path [OPTIONS]; see docs/MEASUREMENTS.md",
+                "usage: bin/bench ownership|faults|eras|outcomes|capacity|path [OPTIONS]; see docs/MEASUREMENTS.md",
             )
             exitProcess(2)
         }
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -216,7 +216,9 @@
 
     private fun execute(vm: VirtualVm, effect: Effect) {
         when (effect) {
-            is Effect.CallStore -> store.call(vm.endpoint, effect.call) { vm.submit(Event.StoreReplied(effect.id, it)) }
+            is Effect.CallStore -> store.call(vm.endpoint, effect.call) { reply, era ->
+                vm.submit(Event.StoreReplied(effect.id, reply, era))
+            }
             is Effect.SendPeer -> sendPeer(vm, effect)
             is Effect.SendGrant -> sendGrant(vm, effect)
             is Effect.SendRangeOrder -> vm.submit(Event.RangeOrderEnded(effect.id, RangeOrderOutcome.Rejected))
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualStore.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualStore.kt
@@ -1,8 +1,10 @@
 package cicadagauge.bench.virtual
 
 import cicadagauge.identity.Moment
+import cicadagauge.standins.store.StoreCopy
 import cicadagauge.standins.store.StoreModel
 import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreReply
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -31,19 +33,19 @@
     var replyDelay: Duration = Duration.ZERO
 
     /**
-     * Makes [call] for the process at [from]. [reply] is called exactly once, with the result or with
-     * [StoreReply.Unavailable].
+     * Makes [call] for the process at [from]. [reply] is called exactly once, with the result and the store's era or
+     * with [StoreReply.Unavailable].
      */
-    fun call(from: Endpoint, call: StoreCall, reply: (StoreReply) -> Unit) {
+    fun call(from: Endpoint, call: StoreCall, reply: (StoreReply, StoreEra?) -> Unit) {
         val wait = if (call is StoreCall.Watch) call.wait else Duration.ZERO
         var done = false
-        val answer = { result: StoreReply ->
+        val answer = { result: StoreReply, era: StoreEra? ->
             if (!done) {
                 done = true
-                reply(result)
+                reply(result, era)
             }
         }
-        time.after(callTimeout + wait) { answer(StoreReply.Unavailable) }
+        time.after(callTimeout + wait) { answer(StoreReply.Unavailable, null) }
         network.send(from, endpoint) {
             if (isDown) return@send
             model.handle(call, now()) { result -> sendReply(from, result, answer) }
@@ -51,9 +53,17 @@
         }
     }
 
-    private fun sendReply(to: Endpoint, result: StoreReply, answer: (StoreReply) -> Unit) {
+    /** Comes back from [copy], as after an outage: see [StoreModel.comeBackFrom]. */
+    fun comeBackFrom(copy: StoreCopy) {
+        model.comeBackFrom(copy, now())
+        isDown = false
+        scheduleExpiry()
+    }
+
+    private fun sendReply(to: Endpoint, result: StoreReply, answer: (StoreReply, StoreEra?) -> Unit) {
         if (isDown || (losesWriteReplies && result is StoreReply.Written)) return
-        time.after(replyDelay) { network.send(endpoint, to) { answer(result) } }
+        val era = model.era
+        time.after(replyDelay) { network.send(endpoint, to) { answer(result, era) } }
     }
 
     private fun scheduleExpiry() {
--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualVm.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualVm.kt
@@ -11,6 +11,7 @@
 import cicadagauge.node.NodeSettings
 import cicadagauge.node.NodeStatus
 import cicadagauge.store.JsonCodecs
+import cicadagauge.store.NodeCodecs
 
 /** Carries out the effects of nodes. */
 fun interface EffectSink {
@@ -24,8 +25,9 @@
     private val time: VirtualTime,
     private val clock: VirtualClock,
     private val sink: EffectSink,
+    codecs: NodeCodecs = JsonCodecs.all(),
 ) {
-    private val node = DefaultNode(settings, JsonCodecs.all(), clock.now())
+    private val node = DefaultNode(settings, codecs, clock.now())
     private val deferredEvents = ArrayDeque<Event>()
     private val crashListeners = ArrayDeque<() -> Unit>()
     private val address = Address(settings.vm.value, port = 1)
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -105,6 +105,7 @@
                 ),
                 PeerMessage.Ping,
                 PeerMessage.Pong,
+                PeerMessage.NewEra(StoreEra(3)),
                 PeerMessage.UpstreamsReached(reached = false, sequence = 4),
                 PeerMessage.Leaving,
                 PeerMessage.OutageQuery(pool, Term(3), 8),
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/admission/SeatHolder.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/admission/SeatHolder.kt
@@ -40,6 +40,9 @@
     private var revision = StoreRevision.ABSENT
     private var isClaiming = false
 
+    // Whether seats that are known here may be missing in the store, since it has come back from an older copy.
+    private var isRestoring = false
+
     /** From when this VM may use its seat: once the waivers of the seat's previous holder have expired everywhere. */
     var usableFrom: Moment = Moment.FUTURE
         private set
@@ -49,7 +52,9 @@
         get() = declaredCount?.takeIf { it != DeclarationDefaults.DYNAMIC_ENTRY_VMS } ?: maxOf(1, holders.size)
 
     private val hasSeatPerVm: Boolean get() = declaredCount == DeclarationDefaults.DYNAMIC_ENTRY_VMS
-    private val isHeld: Boolean get() = usableFrom != Moment.FUTURE
+
+    /** Whether this VM holds a seat. */
+    val isHeld: Boolean get() = usableFrom != Moment.FUTURE
 
     /** Sets the number of seats; with [DeclarationDefaults.DYNAMIC_ENTRY_VMS] each VM that claims one gets its own. */
     fun configure(seats: Int, now: Moment) {
@@ -59,15 +64,67 @@
 
     /** Applies the list of seat holders that the store has at present. */
     fun seatsChanged(entry: StoreEntry, now: Moment) {
-        if (entry.revision <= revision) return
+        if (entry.revision > revision) applySeats(entry, now)
+    }
+
+    /** Keeps the known seats, though the store may have lost some of them, and writes those again. */
+    fun eraChanged() {
+        revision = StoreRevision.ABSENT
+        isRestoring = holders.isNotEmpty()
+        restore()
+    }
+
+    private fun restore() {
+        if (!isRestoring) return
+        store.call(StoreCall.Get(StoreKeys.SEATS)) { reply, moment ->
+            if (reply is StoreReply.Found) {
+                applySeats(
+                    reply.entry,
+                    moment,
+                )
+            } else {
+                timers.at(moment + RETRY_DELAY) { restore() }
+            }
+        }
+    }
+
+    private fun applySeats(entry: StoreEntry, now: Moment) {
         revision = entry.revision
-        holders = holdersIn(entry)
+        val stored = holdersIn(entry)
+        holders = if (isRestoring) withLostSeats(stored, now) else stored
+        if (holders == stored) isRestoring = false else writeAgain(entry)
         holders.forEach { firstSeenAt.putIfAbsent(it.vm, now) }
         if (isHeld && holders.none { it.vm == vms.self }) usableFrom = Moment.FUTURE
         if (hasSeatPerVm) onCountChanged(now)
         claimIfNeeded(now)
     }
 
+    /**
+     * The [stored] seats and those that the store has lost. Of two processes at one address only the later one has a
+     * seat: the one in the store if it is new to this VM, the other one otherwise.
+     */
+    private fun withLostSeats(stored: List<Seat>, now: Moment): List<Seat> {
+        val successors = stored.filter { it.vm !in firstSeenAt }.mapNotNull { it.address }
+        val lost = holders.filter { seat ->
+            stored.none { it.vm == seat.vm } && seat.address !in successors && !hasStopped(seat.vm, now)
+        }
+        val replaced = lost.mapNotNull { it.address }
+        val all = stored.filter { it.address !in replaced } + lost
+        return if (hasSeatPerVm) all else all.take(count)
+    }
+
+    private fun writeAgain(entry: StoreEntry) {
+        val expect = if (entry.value == null) StoreRevision.ABSENT else entry.revision
+        val text = holders.joinToString(SEAT_SEPARATOR)
+        store.call(StoreCall.Put(StoreKeys.SEATS, text, expect)) { reply, now ->
+            when (reply) {
+                is StoreReply.Written -> isRestoring = false
+                is StoreReply.Conflict -> applySeats(reply.current, now)
+                else -> timers.at(now + RETRY_DELAY) { restore() }
+            }
+        }
+    }
+
     private fun claimIfNeeded(now: Moment) {
         if (isHeld || isClaiming || declaredCount == null) return
         if (!vms.hasList()) return scheduleClaim(now + RETRY_DELAY)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/Disseminator.kt
@@ -22,12 +22,14 @@
 import cicadagauge.quarantine.RequestQuarantine
 import cicadagauge.routing.OwnerDirectory
 import cicadagauge.store.SharedEntries
+import cicadagauge.store.StoreClient
 
 /** Exchanges declarations, ownership records and shared store entries with the other VMs. */
 internal class Disseminator(
     private val vms: VmDirectory,
     private val declarations: DeclarationHolder,
     private val owners: OwnerDirectory,
+    private val store: StoreClient,
     private val sharedEntries: List<SharedEntries>,
     private val quarantine: RequestQuarantine,
     private val settings: DisseminationSettings,
@@ -47,6 +49,11 @@
         neighbours().filter { it.id != source }.forEach { vms.send(it, update) }
     }
 
+    /** Tells the neighbours in the tree the era of the store. */
+    fun propagateEra(): Unit = neighbours().filter { it.id != vms.self }.forEach {
+        vms.send(it, PeerMessage.NewEra(store.era))
+    }
+
     /** Sends [record] to the neighbours in the tree, except [source], from which it came. */
     fun propagateRecord(record: OwnershipRecord, source: VmId?) {
         neighbours().filter { it.id != source }.forEach { vms.send(it, PeerMessage.RecordUpdate(record)) }
@@ -82,7 +89,7 @@
 
     /** Sends [vm] the store entries that it lacks, and returns whether this VM lacks any itself. */
     private fun compareEntries(vm: Vm, digests: List<PrefixDigest>): Boolean {
-        val remote = digests.associate { it.prefix to it.latest }
+        val remote = digests.associate { it.prefix to it.position }
         sharedEntries.forEach { entries ->
             remote[entries.prefix]?.let(entries::since)?.let { vms.send(vm, it) }
         }
@@ -94,6 +101,7 @@
         records = owners.digest(),
         prefixes = sharedEntries.map { it.digest },
         quarantine = quarantine.digest(now),
+        era = store.era,
     )
 
     private fun isNewer(one: RecordDigest, other: RecordDigest?): Boolean =
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmDirectory.kt
@@ -86,6 +86,10 @@
         }
     }
 
+    /** The other VMs that were ever listed and may still be running at [now], see [isGone]. */
+    fun possiblyRunning(aliveAt: Moment, lag: Duration, now: Moment): List<Vm> =
+        lastKnown.values.filter { it.id != self && !isGone(it.id, aliveAt, lag, now) }
+
     /** When a list of VMs was last received. */
     var updatedAt: Moment = Moment.PAST
         private set
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmRegistration.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/VmRegistration.kt
@@ -34,6 +34,9 @@
     private var isStopped = false
     private var revision = StoreRevision.ABSENT
 
+    // Whether a registration that is in the store already may belong to another lease than this VM's.
+    private var mustRewrite = false
+
     /** Starts the registration of this VM. */
     fun start(now: Moment) {
         vms[self.id] = self
@@ -50,6 +53,13 @@
         if (text == null) remove(id, now) else codec.decode(text).onRight { add(id, it, now) }
     }
 
+    /** Registers this VM again, because the store is in another era. */
+    fun eraChanged(now: Moment) {
+        revision = StoreRevision.ABSENT
+        mustRewrite = true
+        register(now)
+    }
+
     /** Deletes this VM's registration from the store. */
     fun stop() {
         isStopped = true
@@ -76,9 +86,13 @@
 
     private fun register(now: Moment) {
         if (isCallPending || isStopped) return
-        val id = lease.id ?: return timers.at(now + retryDelay, ::register)
+        if (lease.id == null) return timers.at(now + retryDelay, ::register)
+        write(expect = StoreRevision.ABSENT)
+    }
+
+    private fun write(expect: StoreRevision) {
         isCallPending = true
-        store.call(StoreCall.Put(key, codec.encode(self), StoreRevision.ABSENT, id)) { reply, moment ->
+        store.call(StoreCall.Put(key, codec.encode(self), expect, lease.id)) { reply, moment ->
             isCallPending = false
             registered(reply, moment)
         }
@@ -88,9 +102,10 @@
         when (reply) {
             is StoreReply.Written -> {
                 revision = reply.revision
+                mustRewrite = false
                 reportList(now)
             }
-            is StoreReply.Conflict -> reportList(now)
+            is StoreReply.Conflict -> if (mustRewrite) write(expect = reply.current.revision) else reportList(now)
             else -> timers.at(now + retryDelay, ::register)
         }
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/DefaultNode.kt
@@ -24,14 +24,17 @@
 import cicadagauge.ownership.OwnershipRecord
 import cicadagauge.ownership.ProcessLease
 import cicadagauge.ownership.RangeOrders
+import cicadagauge.ownership.era
 import cicadagauge.peer.PeerMessage
 import cicadagauge.quarantine.CrashDetector
 import cicadagauge.quarantine.RequestQuarantine
 import cicadagauge.routing.OwnerDirectory
 import cicadagauge.store.NodeCodecs
+import cicadagauge.store.RollbackFilter
 import cicadagauge.store.SharedEntries
 import cicadagauge.store.StoreClient
 import cicadagauge.store.StoreEntry
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreKeys
 import cicadagauge.store.StoreListener
 import cicadagauge.store.StoreWatcher
@@ -73,7 +76,7 @@
     private val declarations = DeclarationHolder(codecs.declarations, effects, ::configure)
     private val sharedEntries = listOf(StoreKeys.UPSTREAMS, StoreKeys.ZONES_OUT).map(::SharedEntries)
     private val disseminator: Disseminator =
-        Disseminator(vms, declarations, owners, sharedEntries, quarantine, settings.dissemination, timers)
+        Disseminator(vms, declarations, owners, store, sharedEntries, quarantine, settings.dissemination, timers)
     private val lease = ProcessLease(store, timers, settings.ownership)
     private val orders = RangeOrders(effects, reachability::failed)
     private val registration = settings.registration?.let { vm ->
@@ -108,6 +111,10 @@
     private var wakeAt = Moment.FUTURE
     private var stopping = false
 
+    init {
+        store.onNewEra(::eraChanged)
+    }
+
     override fun handle(event: Event, now: Moment): List<Effect> {
         if (event == Event.Woken) wakeAt = Moment.FUTURE
         handleEvent(event, now)
@@ -138,7 +145,7 @@
             is Event.PeerMessageReceived -> handlePeerMessage(event.from, event.message, now)
             is Event.GrantReported -> duties.grantReported(event.report, now)
             is Event.RangeOrderEnded -> orders.outcomeReceived(event.id, event.outcome, now)
-            is Event.StoreReplied -> store.replied(event.call, event.reply, now)
+            is Event.StoreReplied -> store.replied(event.call, event.reply, now, event.era)
             is Event.VmsListed -> listed(event.vms, now)
             Event.Started -> started(now)
             is Event.Suspended -> suspended(event, now)
@@ -177,6 +184,19 @@
         timers.at(now + settings.dispatch.heatReportInterval, ::reportHeat)
     }
 
+    /** Renews in the store what this VM had there in the era [previous], and reads it again. */
+    private fun eraChanged(previous: StoreEra, now: Moment) {
+        val writtenAgain = duties.heldPools.map { "duty of $it" } +
+            listOfNotNull("registration".takeIf { registration != null }, "seat".takeIf { seats.isHeld })
+        effects.add(Effect.StateChanged(StateChange.StoreEraChanged(previous, store.era, writtenAgain)))
+        duties.eraChanged(previous, now)
+        lease.eraChanged(now)
+        registration?.eraChanged(now)
+        seats.eraChanged()
+        storeWatchers.forEach { it.eraChanged(now) }
+        disseminator.propagateEra()
+    }
+
     private fun stop() {
         stopping = true
         vms.markLeaving(vms.self)
@@ -198,6 +218,7 @@
     private fun handlePeerMessage(from: VmId, message: PeerMessage, now: Moment) {
         if (registration != null && !vms.isListed(from)) stateWatcher.changesMissed(now)
         vms.recordContact(from, now)
+        eraIn(message)?.let { store.noteEra(it, now) }
         when (message) {
             is PeerMessage.Reserve -> reserve(from, message, now)
             is PeerMessage.Reserved -> dispatcher.reserved(from, message, now)
@@ -214,7 +235,7 @@
             is PeerMessage.QuarantineUpdate -> quarantine.adopt(message.suspicions, from, now)
             is PeerMessage.EntriesUpdate -> storeWatchers.forEach { it.adopt(message, now) }
             PeerMessage.Ping -> vms.vm(from)?.let { vms.send(it, PeerMessage.Pong) }
-            PeerMessage.Pong -> Unit
+            PeerMessage.Pong, is PeerMessage.NewEra -> Unit
             PeerMessage.Leaving -> peerLeft(from, now)
             is PeerMessage.UpstreamsReached -> reachability.announced(from, message, now)
             is PeerMessage.Heat -> duties.heatReported(message, now)
@@ -227,6 +248,17 @@
         }
     }
 
+    /** The era of the store that [message] shows, or null. */
+    private fun eraIn(message: PeerMessage): StoreEra? = when (message) {
+        is PeerMessage.NewEra -> message.era
+        is PeerMessage.Digest -> message.era
+        is PeerMessage.EntriesUpdate -> message.era
+        is PeerMessage.RecordUpdate -> message.record.term.era
+        is PeerMessage.Yield -> message.term.era
+        is PeerMessage.TermRaised -> message.term.era
+        else -> null
+    }
+
     private fun upstreamChecked(upstream: UpstreamId, state: UpstreamState, now: Moment) {
         reachability.checked(upstream, state, now)
         crashDetector.checked(upstream, state, now)
@@ -303,7 +335,12 @@
         watchers = prefixWatchers,
         settings = settings.dissemination,
         timers = timers,
-        listener = StoreEntryHandler(),
+        listener = RollbackFilter(
+            prefixes = listOf(StoreKeys.UPSTREAMS, StoreKeys.ZONES_OUT, StoreKeys.VMS),
+            grace = settings.dissemination.rollbackGrace,
+            timers = timers,
+            target = StoreEntryHandler(),
+        ),
         effects = effects,
         shared = sharedEntries.firstOrNull { it.prefix.startsWith(prefix) },
     )
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -60,6 +60,8 @@
  * @property ranges Times of range grants.
  * @property registrationRetry Delay before a failed registration of this VM is repeated, and interval at which the list
  * of registered VMs is confirmed.
+ * @property holderHeadStart How long, after the store has come back from an older copy, the other VMs leave a pool's
+ * duty to the VM that held it.
  */
 public data class OwnershipSettings(
     val lease: Duration = 1_200.milliseconds,
@@ -78,7 +80,11 @@
     val clockDrift: Double = 0.01,
     val ranges: RangeSettings = RangeSettings(),
     val registrationRetry: Duration = 250.milliseconds,
-)
+    val holderHeadStart: Duration = 1.seconds,
+) {
+    /** An upper bound, on any VM's clock, of the time for which a VM may rely on its store lease without a renewal. */
+    val longestLease: Duration get() = dutyLease * (1 + 2 * clockDrift)
+}
 
 /**
  * Times of range grants.
@@ -285,6 +291,8 @@
  * @property watcherSuspicion How long a suspected watcher ranks last.
  * @property registrationGrace How long after the store's return an upstream whose registration has lapsed may register
  * again before it is removed.
+ * @property rollbackGrace How long after the store has come back from an older copy what was known before stays in
+ * force, so that those who wrote it can write it again.
  */
 public data class DisseminationSettings(
     val fanOut: Int = 16,
@@ -301,4 +309,5 @@
     val watcherPingTimeout: Duration = 600.milliseconds,
     val watcherSuspicion: Duration = 5.seconds,
     val registrationGrace: Duration = 2_300.milliseconds,
+    val rollbackGrace: Duration = 5.seconds,
 )
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/Allocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/Allocator.kt
@@ -53,6 +53,12 @@
      */
     fun mayRenew(now: Moment): Boolean
 
+    /**
+     * Whether this VM has known every VM that may have been an allocator, or backed one, in the store's era before the
+     * present one.
+     */
+    val knowsEarlierVms: Boolean get() = false
+
     /** Whether the store has not answered for so long that lost upstreams are replaced without it. */
     fun isStoreOut(now: Moment): Boolean
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -19,6 +19,7 @@
 import cicadagauge.routing.OwnerDirectory
 import cicadagauge.store.RecordCodec
 import cicadagauge.store.StoreClient
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreRevision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -132,6 +133,9 @@
     /** Discards the promises of other VMs after this process was suspended. */
     fun suspended(): Unit = duties.values.forEach { it.receivedPromises.discard() }
 
+    /** Gives up what this VM held in [previous], an earlier era of the store, and takes it again where it may. */
+    fun eraChanged(previous: StoreEra, now: Moment): Unit = duties.values.forEach { it.eraChanged(previous, now) }
+
     /** Records another VM's promise not to take a duty. */
     fun promiseReceived(from: VmId, message: PeerMessage.OutagePromise) {
         val duty = duties[message.pool] ?: return
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolAllocator.kt
@@ -156,6 +156,7 @@
         val planned = record.copy(
             members = members,
             predecessors = if (areEarlierGrantsOver) emptySet() else record.predecessors,
+            isUnsettled = record.isUnsettled && !areEarlierGrantsOver,
             backedElsewhere = record.backedElsewhere || (areEarlierGrantsOver && vms.hasSeveralZones),
         )
         if (planned != record) startChange(planned.copy(version = record.version.next()), now)
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
@@ -16,6 +16,7 @@
 import cicadagauge.peer.PeerMessage
 import cicadagauge.store.StoreCall
 import cicadagauge.store.StoreEntry
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreKey
 import cicadagauge.store.StoreKeys
 import cicadagauge.store.StoreReply
@@ -35,7 +36,9 @@
     private val settings = dependencies.settings
     private val timers = dependencies.timers
     private val effects = dependencies.effects
-    private val records = TermRecords(vms)
+    private val earlierEras = EarlierEras(store, vms, settings)
+    private val records = TermRecords(vms, store, earlierEras)
+    private val calls = EraCalls(store, timers)
     private var isStopping = false
     private var isHandingOver = false
     private val dutyKey = StoreKey(StoreKeys.DUTIES + pool.name)
@@ -46,8 +49,16 @@
     private var hasAttempted = false
     private var isOwnKey = false
     private var keyRevision = StoreRevision.ABSENT
-    private var recordRevision = StoreRevision.ABSENT
     private var heldSince: Moment? = null
+    private val recordWriter = RecordWriter(
+        key = recordKey,
+        codec = codec,
+        calls = calls,
+        settings = settings,
+        isActive = { allocator != null },
+        isStoreOut = ::isStoreOut,
+        onSuperseded = ::dutyLost,
+    )
 
     /** The promises that this VM has made to other VMs. */
     val madePromises = MadePromises(pool.name, vms, dependencies.owners, settings)
@@ -70,12 +81,40 @@
     fun holderChanged(holder: VmId?, revision: StoreRevision, now: Moment) {
         if (revision <= seenRevision) return
         seenRevision = revision
+        if (holder == vms.self && earlierEras.hasChanged && !hasAttempted) return earlierKeyFound(revision, now)
         if (holder == null) vacantSince = vacantSince ?: now else vacantSince = null
         if (holder != null && holder != vms.self && allocator != null) dutyLost(now)
         isOwnKey = holder == vms.self && hasAttempted
         if (holder == null && allocator != null) keyDeleted(now) else takeIfDue(now)
     }
 
+    /**
+     * Handles the key of an earlier era, under a lease that was given up. The last allocator replaces it; any other VM
+     * deletes it, to leave the duty to that one.
+     */
+    private fun earlierKeyFound(revision: StoreRevision, now: Moment) {
+        vacantSince = vacantSince ?: now
+        if (earlierEras.isLastAllocator) return takeIfDue(now)
+        store.call(StoreCall.Delete(dutyKey, revision)) { _, _ -> }
+    }
+
+    /** Gives up what this VM held in [previous], an earlier era of the store, and takes it again if it may. */
+    fun eraChanged(previous: StoreEra, now: Moment) {
+        val isActive = allocator != null && !isTakingDuty && !dependencies.reachability.isInDoubt
+        val isBacked = (heldSince != null && now < lease.validUntil) || receivedPromises.completeSince(now) != null
+        earlierEras.eraChanged(previous, isCertain = isActive && isBacked, now = now)
+        calls.eraChanged()
+        receivedPromises.discard()
+        madePromises.termRaised(store.era.firstTerm, now)
+        seenRevision = StoreRevision.ABSENT
+        hasAttempted = false
+        isOwnKey = false
+        isTakingDuty = false
+        vacantSince = if (earlierEras.isLastAllocator) now else now + settings.holderHeadStart
+        dutyLost(now)
+        takeIfDue(now)
+    }
+
     /** Whether this VM may promise the holder of [term] not to take the duty. */
     fun mayPromise(term: Term, now: Moment): Boolean {
         val own = allocator
@@ -104,7 +143,7 @@
     private fun resume(now: Moment) {
         if (now < madePromises.until) return timers.at(madePromises.until, ::takeIfDue)
         isTakingDuty = true
-        keyTaken(seenRevision, now)
+        if (earlierEras.hasChanged) takeKey(now) else keyTaken(seenRevision, now)
     }
 
     private fun ownRank(): Int {
@@ -125,10 +164,10 @@
     }
 
     /** Writes the duty key under this VM's lease. The key exists already if the answer to an earlier write was lost. */
-    private fun takeKey(now: Moment) {
+    private fun takeKey(now: Moment, expect: StoreRevision = StoreRevision.ABSENT) {
         val id = lease.id
         if (isStopping || id == null) return endAttempt(now)
-        store.call(StoreCall.Put(dutyKey, vms.self.value, StoreRevision.ABSENT, id)) { reply, moment ->
+        calls.call(StoreCall.Put(dutyKey, vms.self.value, expect, id)) { reply, moment ->
             when (reply) {
                 is StoreReply.Written -> keyTaken(reply.revision, moment)
                 is StoreReply.Conflict -> keyHeld(reply.current, moment)
@@ -137,9 +176,14 @@
         }
     }
 
-    /** Handles a write of the duty key that failed with a conflict: [current] tells which VM holds the key. */
+    /**
+     * Handles a write of the duty key that failed with a conflict: [current] tells which VM holds the key. After a
+     * change of the store's era, a key of this VM may be bound to a lease of another, since leases are given out again.
+     */
     private fun keyHeld(current: StoreEntry, now: Moment) {
-        if (current.value == vms.self.value) return keyTaken(current.revision, now)
+        if (current.value == vms.self.value) {
+            return if (earlierEras.hasChanged) takeKey(now, current.revision) else keyTaken(current.revision, now)
+        }
         holderChanged(current.value?.let(::VmId), current.revision, now)
         endAttempt(now)
     }
@@ -161,13 +205,17 @@
     /** Raises the term, or resumes the one that this VM held before its lease lapsed if it is still the highest. */
     private fun acquireTerm(now: Moment) {
         if (now >= lease.validUntil) return giveUpKey(now)
-        store.call(StoreCall.Get(recordKey)) { reply, moment ->
-            if (reply !is StoreReply.Found) return@call timers.at(moment + settings.storeRetry, ::acquireTerm)
+        calls.call(StoreCall.Get(recordKey)) { reply, moment ->
+            if (reply !is StoreReply.Found) return@call calls.at(moment + settings.storeRetry, ::acquireTerm)
             val stored = reply.entry.value?.let { codec.decode(it).getOrNull() }
             val own = allocator
             when {
                 reply.entry.value != null && stored == null -> giveUpKey(moment)
-                own == null -> writeTerm(records.next(stored, pool, declaration), reply.entry.revision)
+                own == null -> {
+                    val known = listOf(dependencies.owners[pool.name]?.record, recordWriter.lastWritten)
+                    val base = earlierEras.newest(stored, known)
+                    writeTerm(records.next(base, pool, declaration), reply.entry.revision)
+                }
                 stored?.term == own.term -> termResumed(reply.entry.revision, moment)
                 else -> {
                     dutyLost(moment)
@@ -179,13 +227,13 @@
 
     private fun termResumed(revision: StoreRevision, now: Moment) {
         isTakingDuty = false
-        recordRevision = revision
+        recordWriter.resume(revision)
         heldSince = now
         handOverToReaching(now)
     }
 
     private fun writeTerm(record: OwnershipRecord, expect: StoreRevision) {
-        store.call(StoreCall.Put(recordKey, codec.encode(record), expect)) { reply, moment ->
+        calls.call(StoreCall.Put(recordKey, codec.encode(record), expect)) { reply, moment ->
             if (reply is StoreReply.Written) startAllocator(record, reply.revision, moment) else acquireTerm(moment)
         }
     }
@@ -193,7 +241,7 @@
     private fun startAllocator(record: OwnershipRecord, revision: StoreRevision, now: Moment) {
         if (now >= lease.validUntil) return giveUpKey(now)
         isTakingDuty = false
-        recordRevision = revision
+        recordWriter.begin(record, revision)
         heldSince = now
         effects.add(Effect.StateChanged(StateChange.DutyTaken(pool.name, record.term)))
         allocator = when (pool.placement) {
@@ -236,20 +284,21 @@
         retakeKey(now)
     }
 
-    private fun retakeKey(now: Moment) {
+    private fun retakeKey(now: Moment, expect: StoreRevision = StoreRevision.ABSENT) {
         if (allocator == null || isStopping || isHandingOver) return endAttempt(now)
-        if (lease.id == null) return timers.at(now + settings.storeRetry, ::retakeKey)
-        store.call(StoreCall.Put(dutyKey, vms.self.value, StoreRevision.ABSENT, lease.id)) { reply, moment ->
+        if (lease.id == null) return calls.at(now + settings.storeRetry) { retakeKey(it) }
+        calls.call(StoreCall.Put(dutyKey, vms.self.value, expect, lease.id)) { reply, moment ->
             val current = (reply as? StoreReply.Conflict)?.current
             when {
                 reply is StoreReply.Written -> keyTaken(reply.revision, moment)
-                current == null -> timers.at(moment + settings.storeRetry, ::retakeKey)
+                current == null -> calls.at(moment + settings.storeRetry) { retakeKey(it) }
                 current.value != vms.self.value -> {
                     dutyLost(moment)
                     keyHeld(current, moment)
                 }
+                earlierEras.hasChanged -> retakeKey(moment, current.revision)
                 current.revision > keyRevision -> keyTaken(current.revision, moment)
-                else -> timers.at(moment + settings.storeRetry, ::retakeKey)
+                else -> calls.at(moment + settings.storeRetry) { retakeKey(it) }
             }
         }
     }
@@ -273,40 +322,10 @@
 
     override fun isStoreOut(now: Moment): Boolean = store.lastAnswerAt + settings.storeOutTimeout < now
 
-    override fun write(record: OwnershipRecord, onResult: (saved: Boolean, now: Moment) -> Unit) {
-        store.call(StoreCall.Put(recordKey, codec.encode(record), recordRevision)) { reply, now ->
-            when (reply) {
-                is StoreReply.Written -> {
-                    recordRevision = reply.revision
-                    onResult(true, now)
-                }
-                is StoreReply.Conflict -> handleConflict(record, reply, onResult, now)
-                else -> retryWrite(record, onResult, now)
-            }
-        }
-    }
-
-    /**
-     * Handles a changed revision of the record's key: by a write of this VM whose answer was lost, or by the holder of
-     * a higher term.
-     */
-    private fun handleConflict(
-        record: OwnershipRecord,
-        reply: StoreReply.Conflict,
-        onResult: (Boolean, Moment) -> Unit,
-        now: Moment,
-    ) {
-        val stored = reply.current.value?.let { codec.decode(it).getOrNull() }
-        if (stored == null || stored.term > record.term) return dutyLost(now)
-        recordRevision = reply.current.revision
-        if (stored.version >= record.version) onResult(true, now) else write(record, onResult)
-    }
+    override fun write(record: OwnershipRecord, onResult: (saved: Boolean, now: Moment) -> Unit): Unit =
+        recordWriter.write(record, onResult)
 
-    private fun retryWrite(record: OwnershipRecord, onResult: (Boolean, Moment) -> Unit, now: Moment) {
-        if (allocator == null) return
-        if (isStoreOut(now)) return onResult(false, now)
-        timers.at(now + settings.storeRetry) { write(record, onResult) }
-    }
+    override val knowsEarlierVms: Boolean get() = earlierEras.isVmListComplete
 
     override fun publish(record: OwnershipRecord, now: Moment): Unit = dependencies.publisher.publish(record, now)
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PredecessorStopDetector.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PredecessorStopDetector.kt
@@ -22,13 +22,14 @@
     private val settings: OwnershipSettings,
     private val start: Moment,
     private val onAllStopped: (stoppedAt: Moment, now: Moment) -> Unit,
-) {
+) : StopDetector {
     private val unconfirmed = initial.predecessors.toMutableSet()
     private val promisesEnd = HashMap<VmId, Moment>()
-    private var lastOrderBound = start
 
-    /** Asks the predecessors, and the VMs that may back them, for the confirmations that are still missing. */
-    fun requestConfirmations(now: Moment) {
+    // The lease of a predecessor may have been lost with the store's earlier era, and not have expired.
+    private var lastOrderBound = if (initial.isUnsettled) start + settings.longestLease else start
+
+    override fun requestConfirmations(now: Moment) {
         for (vm in unconfirmed.toList()) {
             val listed = vms.vm(vm)
             when {
@@ -39,15 +40,13 @@
         }
     }
 
-    /** Notes that the allocator on [vm] sent its last order at [at] at the latest. */
-    fun predecessorStopped(vm: VmId, at: Moment, now: Moment) {
+    override fun predecessorStopped(vm: VmId, at: Moment, now: Moment) {
         if (!unconfirmed.remove(vm)) return
         lastOrderBound = maxOf(lastOrderBound, at)
         if (unconfirmed.isEmpty()) onAllStopped(lastOrderBound, now)
     }
 
-    /** Notes that [vm]'s promises to holders of lower terms end after [lasting], and that it makes no more of them. */
-    fun termNoted(vm: VmId, lasting: Duration, now: Moment) {
+    override fun termNoted(vm: VmId, lasting: Duration, now: Moment) {
         promisesEnd.merge(vm, now + lasting * (1 + 2 * settings.clockDrift), ::minOf)
         unconfirmed.toList().forEach { checkBackers(it, now) }
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/ProcessLease.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/ProcessLease.kt
@@ -8,6 +8,7 @@
 import cicadagauge.node.OwnershipSettings
 import cicadagauge.node.Timers
 import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreCallId
 import cicadagauge.store.StoreClient
 import cicadagauge.store.StoreLeaseId
 import cicadagauge.store.StoreReply
@@ -20,7 +21,8 @@
 ) {
     private val listeners = ArrayList<(Moment) -> Unit>()
     private var isWanted = false
-    private var isCallOpen = false
+    private var openCall: StoreCallId? = null
+    private var chain = 0
     private var invalidatedAt = Moment.PAST
 
     /** The id of the lease, or null if there is none. */
@@ -57,15 +59,24 @@
         renew(now)
     }
 
+    /** Gives the lease up, because the store is in another era, and creates another one. */
+    fun eraChanged(now: Moment) {
+        openCall?.let(store::cancel)
+        openCall = null
+        chain++
+        id = null
+        validUntil = Moment.PAST
+        renew(now)
+    }
+
     private fun renew(now: Moment) {
-        if (!isWanted || isCallOpen) return
-        isCallOpen = true
+        if (!isWanted || openCall != null) return
         val call = id?.let { StoreCall.RenewLease(it) } ?: StoreCall.CreateLease(settings.dutyLease)
-        store.call(call) { reply, moment -> handleReply(reply, sentAt = now, now = moment) }
+        openCall = store.call(call) { reply, moment -> handleReply(reply, sentAt = now, now = moment) }
     }
 
     private fun handleReply(reply: StoreReply, sentAt: Moment, now: Moment) {
-        isCallOpen = false
+        openCall = null
         if (!isWanted) return
         when (reply) {
             is StoreReply.LeaseHeld -> {
@@ -79,6 +90,7 @@
             }
             else -> Unit
         }
-        timers.at(maxOf(now, sentAt + settings.dutyRenewal), ::renew)
+        val ownChain = chain
+        timers.at(maxOf(now, sentAt + settings.dutyRenewal)) { if (chain == ownChain) renew(it) }
     }
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeAllocator.kt
@@ -48,9 +48,10 @@
     private val suspected = SuspectedOwners(pool.name, orders, times)
     private var record = initial
     private var rangeStates = emptyList<RangeState>()
-    private val stopDetector = PredecessorStopDetector(initial, vms, settings, start) { stoppedAt, _ ->
-        rangeStates.forEach { it.limitLapse(stoppedAt + maxGrantTime) }
-    }
+
+    // Before that, upstreams may hold ranges of which no record tells, so nothing is granted.
+    private var settledAt = if (initial.isUnsettled) Moment.FUTURE else Moment.PAST
+    private val stopDetector = stopDetector(initial, settings)
     private var isWriting = false
     private var isStopped = false
     private var lastPlanAt = Moment.PAST
@@ -60,11 +61,25 @@
     override val term = initial.term
 
     init {
-        val lapse = if (initial.predecessors.isEmpty()) start + maxGrantTime else Moment.FUTURE
+        val isAloneFromStart = initial.predecessors.isEmpty() && !initial.isUnsettled
+        val lapse = if (isAloneFromStart) start + maxGrantTime else Moment.FUTURE
         rangeStates = initial.ranges.map { RangeState(it, lapsesAt = lapse, formerLapsesAt = lapse) }
         tick(start)
     }
 
+    private fun stopDetector(initial: OwnershipRecord, settings: OwnershipSettings): StopDetector =
+        if (initial.isUnsettled) {
+            LostEraDetector(initial, vms, settings, start, context.knowsEarlierVms) { stoppedAt, _ ->
+                settledAt = stoppedAt + maxGrantTime
+                earlierStopped(stoppedAt)
+            }
+        } else {
+            PredecessorStopDetector(initial, vms, settings, start) { stoppedAt, _ -> earlierStopped(stoppedAt) }
+        }
+
+    private fun earlierStopped(stoppedAt: Moment): Unit =
+        rangeStates.forEach { it.limitLapse(stoppedAt + maxGrantTime) }
+
     override fun configure(newPool: Pool, newDeclaration: Declaration) {
         pool = newPool
         declaration = newDeclaration
@@ -102,7 +117,7 @@
     }
 
     private fun mayOrder(now: Moment): Boolean =
-        now < context.storeAnsweredAt + times.storelessRenewal && context.mayRenew(now)
+        now >= settledAt && now < context.storeAnsweredAt + times.storelessRenewal && context.mayRenew(now)
 
     /** The owner in its present run, if it has restarted since it was granted the range; null otherwise. */
     private fun restartedOwnerOf(state: RangeState): RangeOwner? {
@@ -172,13 +187,15 @@
      * predecessors, once no grant of theirs can be valid.
      */
     private fun updateRecord(now: Moment) {
-        if (isWriting || isStopped || context.confirmedSince(now) == null || context.isStoreOut(now)) return
+        val isCertain = context.confirmedSince(now) != null && !context.isStoreOut(now)
+        if (isWriting || isStopped || !isCertain || now < settledAt) return
         val next = record.version.next()
         val planned = if (isPlanDue(now)) plan(next, now) else rangeStates.map { it.range }
         val areEarlierGrantsOver = rangeStates.all { it.isVacated(now) && (it.isClaimed || now >= it.lapsesAt) }
         val updated = record.copy(
             ranges = planned,
             predecessors = if (areEarlierGrantsOver) emptySet() else record.predecessors,
+            isUnsettled = false,
             backedElsewhere = record.backedElsewhere || (areEarlierGrantsOver && vms.hasSeveralZones),
         )
         if (updated == record) return
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/TermRecords.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/TermRecords.kt
@@ -6,17 +6,25 @@
 import cicadagauge.identity.RecordVersion
 import cicadagauge.identity.Term
 import cicadagauge.membership.VmDirectory
+import cicadagauge.store.StoreClient
 
 /** The ownership records with which this VM begins a term. */
-internal class TermRecords(private val vms: VmDirectory) {
-    /** The record of the term after that of [stored], or of the first one of [pool], which [declaration] contains. */
-    fun next(stored: OwnershipRecord?, pool: Pool, declaration: Declaration): OwnershipRecord =
-        stored?.let(::successor) ?: first(pool, declaration)
+internal class TermRecords(
+    private val vms: VmDirectory,
+    private val store: StoreClient,
+    private val earlierEras: EarlierEras,
+) {
+    /** The record of the term after that of [base], or of the first one of [pool], which [declaration] contains. */
+    fun next(base: OwnershipRecord?, pool: Pool, declaration: Declaration): OwnershipRecord {
+        val record = base?.let(::successor) ?: first(pool, declaration)
+        if (!earlierEras.isUnsettled(base)) return record
+        return record.copy(isUnsettled = true, predecessors = record.predecessors + vms.peers.map { it.id })
+    }
 
     private fun first(pool: Pool, declaration: Declaration): OwnershipRecord = OwnershipRecord(
         pool = pool.name,
-        term = Term.NONE.next(),
-        version = RecordVersion.NONE.next(),
+        term = Term.NONE.next().within(store.era),
+        version = RecordVersion.NONE.next().within(store.era),
         allocator = vms.self,
         slots = pool.slots,
         members = if (pool.placement == Placement.Ranges) emptyList() else firstMembers(pool, declaration),
@@ -25,9 +33,9 @@
 
     /** The record of the next term. Each range gets a new fence, so that its owner refuses every earlier allocator. */
     private fun successor(record: OwnershipRecord): OwnershipRecord {
-        val version = record.version.next()
+        val version = record.version.next().within(store.era)
         return record.copy(
-            term = record.term.next(),
+            term = record.term.next().within(store.era),
             version = version,
             allocator = vms.self,
             predecessors = record.predecessors + record.allocator,
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreClient.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreClient.kt
@@ -5,10 +5,16 @@
 import cicadagauge.node.Effects
 import cicadagauge.node.StateChange
 
-/** Issues store calls and passes each reply to its caller. */
+/**
+ * Issues store calls and passes each reply to its caller. A reply that doesn't belong to the present era of the store,
+ * or whose call was sent in an earlier one, is passed on as [StoreReply.Unavailable]: what it says need not hold any
+ * more.
+ */
 internal class StoreClient(private val effects: Effects) {
-    private val callbacks = HashMap<StoreCallId, (StoreReply, Moment) -> Unit>()
+    private val openCalls = HashMap<StoreCallId, OpenCall>()
     private val returnListeners = ArrayList<(Moment) -> Unit>()
+    private val eraListeners = ArrayList<(StoreEra, Moment) -> Unit>()
+    private var knownEra: StoreEra? = null
     private var nextId = 1L
     private var reachable = true
 
@@ -20,6 +26,22 @@
     var returnedAt: Moment = Moment.PAST
         private set
 
+    /** The latest era of the store that this VM knows. */
+    val era: StoreEra get() = knownEra ?: StoreEra.FIRST
+
+    /** Calls [listener] once for each new era, with the era before it and the current time. */
+    fun onNewEra(listener: (previous: StoreEra, now: Moment) -> Unit) {
+        eraListeners += listener
+    }
+
+    /** Notes that the store has reached era [seen]; an earlier one than is known changes nothing. */
+    fun noteEra(seen: StoreEra, now: Moment) {
+        val previous = knownEra
+        if (seen <= era) return
+        knownEra = seen
+        if (previous != null) eraListeners.forEach { it(previous, now) }
+    }
+
     /**
      * Calls [listener] with the current time whenever the store answers again after a call without an answer, once that
      * answer has been handled.
@@ -33,21 +55,25 @@
      */
     fun call(call: StoreCall, onReply: (StoreReply, Moment) -> Unit): StoreCallId {
         val id = StoreCallId(nextId++)
-        callbacks[id] = onReply
+        openCalls[id] = OpenCall(knownEra, onReply)
         effects.add(Effect.CallStore(id, call))
         return id
     }
 
     /** Gives up call [id]; has no effect where it has been answered. */
     fun cancel(id: StoreCallId) {
-        if (callbacks.remove(id) != null) effects.add(Effect.CancelStoreCall(id))
+        if (openCalls.remove(id) != null) effects.add(Effect.CancelStoreCall(id))
     }
 
-    /** Handles the reply to call [id]; a second reply is ignored. */
-    fun replied(id: StoreCallId, reply: StoreReply, now: Moment) {
-        val onReply = callbacks.remove(id) ?: return
+    /** Handles the reply to call [id], which tells [replyEra] if that is not null; a second reply is ignored. */
+    fun replied(id: StoreCallId, reply: StoreReply, now: Moment, replyEra: StoreEra? = null) {
+        if (replyEra != null) noteEra(replyEra, now)
+        if (reply != StoreReply.Unavailable || replyEra != null) knownEra = knownEra ?: replyEra ?: StoreEra.FIRST
+        val call = openCalls.remove(id) ?: return
+        if (replyEra != null && replyEra < era) return call.onReply(StoreReply.Unavailable, now)
         val hasReturned = noteReachability(reply != StoreReply.Unavailable, now)
-        onReply(reply, now)
+        val isOfThisEra = call.era == null || call.era == knownEra
+        call.onReply(if (isOfThisEra) reply else StoreReply.Unavailable, now)
         if (hasReturned) returnListeners.forEach { it(now) }
     }
 
@@ -60,4 +86,7 @@
         effects.add(Effect.StateChanged(StateChange.StoreReachable(answered)))
         return answered
     }
+
+    /** A call without a reply, sent when [era] was the known one; null before the first reply. */
+    private class OpenCall(val era: StoreEra?, val onReply: (StoreReply, Moment) -> Unit)
 }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
@@ -18,6 +18,12 @@
 
     /** One entry has changed; its value is null where the key was deleted. */
     fun entryChanged(entry: StoreEntry, now: Moment)
+
+    /**
+     * The store has come back from an older copy, in which it has [entries]; a value is null where a key that was known
+     * is missing.
+     */
+    fun rolledBack(entries: List<StoreEntry>, now: Moment): Unit = snapshot(entries, now)
 }
 
 /**
@@ -37,6 +43,7 @@
 ) {
     private val known = HashSet<StoreKey>()
     private var revision = StoreRevision.ABSENT
+    private var listedEra = StoreEra.FIRST
 
     /** Whether all entries under the prefix were read at least once. */
     var isRead: Boolean = false
@@ -51,8 +58,18 @@
 
     /** Applies a peer's update and reports the changes in it to the listener. */
     fun adopt(update: PeerMessage.EntriesUpdate, now: Moment) {
-        val changes = shared?.takeIf { it.prefix == update.prefix }?.adopt(update) ?: return
-        changes.forEach { deliver(it, now) }
+        val entries = shared?.takeIf { it.prefix == update.prefix } ?: return
+        val isRolledBack = entries.isKnown && update.era > entries.latest.era
+        val changes = entries.adopt(update)
+        if (!isRolledBack) return changes.forEach { deliver(it, now) }
+        changes.forEach(::noteKnown)
+        listener.rolledBack(changes, now)
+    }
+
+    /** Reads all entries again, because the store is in another era. */
+    fun eraChanged(now: Moment) {
+        isUpToDate = false
+        pendingWatch?.let { endWatch(it, WatchResult.HistoryLost, now) }
     }
 
     /** Starts, or continues, to read and watch the prefix. */
@@ -85,19 +102,32 @@
     }
 
     private fun listed(reply: StoreReply.Listed, now: Moment) {
-        if (shared != null && reply.upTo < shared.latest) shared.reset()
+        val isRolledBack = isBehind()
+        shared?.begin(store.era)
+        if (shared != null && reply.upTo < shared.latest.revision) shared.reset()
         val present = reply.entries.map { it.key }.toSet()
         val deleted = known.filter { it !in present }
         isRead = true
         isUpToDate = true
         revision = reply.upTo
+        listedEra = store.era
         known.clear()
         known += present
-        listener.snapshot(reply.entries.filter(::applyIfNew), now)
-        deleted.map { StoreEntry(it, null, reply.upTo) }.filter(::applyIfNew).forEach { listener.entryChanged(it, now) }
+        val changed = reply.entries.filter(::applyIfNew)
+        val removed = deleted.map { StoreEntry(it, null, reply.upTo) }.filter(::applyIfNew)
+        if (isRolledBack) {
+            listener.rolledBack(changed + removed, now)
+        } else {
+            listener.snapshot(changed, now)
+            removed.forEach { listener.entryChanged(it, now) }
+        }
         start(now)
     }
 
+    /** Whether what is known here is of an earlier era of the store. */
+    private fun isBehind(): Boolean =
+        if (shared == null) isRead && listedEra < store.era else shared.isKnown && shared.latest.era < store.era
+
     private fun watch(sentAt: Moment) {
         val wait = if (expectsLoss(sentAt)) settings.shortWatchWait else settings.watchWait
         val call = StoreCall.Watch(prefix, after = revision, wait = wait)
@@ -137,9 +167,13 @@
     private fun renew(watch: PendingWatch, now: Moment) {
         val renewableAt = watch.sentAt + settings.minWatchRenewalInterval
         if (now < renewableAt) return timers.at(renewableAt) { if (pendingWatch == watch) renew(watch, it) }
+        endWatch(watch, WatchResult.Renewed, now)
+    }
+
+    private fun endWatch(watch: PendingWatch, result: WatchResult, now: Moment) {
         store.cancel(watch.id)
         pendingWatch = null
-        reportEnd(WatchResult.Renewed, waited = now - watch.sentAt)
+        reportEnd(result, waited = now - watch.sentAt)
         start(now)
     }
 
@@ -162,13 +196,17 @@
 
     /** Applies [entry] to [shared]; false if an update from a peer already covered it. */
     private fun applyIfNew(entry: StoreEntry): Boolean =
-        shared == null || entry.key !in shared || shared.applyEntry(entry)
+        shared == null || entry.key !in shared || shared.applyEntry(entry, store.era)
 
     private fun deliver(entry: StoreEntry, now: Moment) {
-        if (entry.value == null) known -= entry.key else known += entry.key
+        noteKnown(entry)
         listener.entryChanged(entry, now)
     }
 
+    private fun noteKnown(entry: StoreEntry) {
+        if (entry.value == null) known -= entry.key else known += entry.key
+    }
+
     private fun listAgain(now: Moment) {
         isUpToDate = false
         start(now)
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/admission/SeatHolderTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/admission/SeatHolderTest.kt
@@ -67,6 +67,12 @@
         return now
     }
 
+    /** Lets the VM know that the store has come back from an older copy. */
+    fun eraChanged() {
+        holder.eraChanged()
+        run()
+    }
+
     /** Delivers the current list of seat holders, as the watch of the store does. */
     fun deliverSeats(): Unit = holder.seatsChanged(shared.entry, now)
 }
@@ -131,6 +137,31 @@
             seat.holder.count shouldBe 3
         }
 
+        test("seats that the store has lost are kept and written again") {
+            val store = SeatStore()
+            val seats = listOf("a", "b", "c").map { SeatFixture(vm(it), emptyList(), store) }
+            seats.forEach { it.deliverSeats() }
+            val usableFrom = seats.map { it.holder.usableFrom }
+            store.entry = store.entry.copy(value = "a", revision = StoreRevision(1))
+            seats.forEach { it.eraChanged() }
+            seats.forEach { it.deliverSeats() }
+            store.entry.value.orEmpty().split(",").map { it.substringBefore("=") }.toSet() shouldBe setOf("a", "b", "c")
+            seats.map { it.holder.count } shouldBe listOf(3, 3, 3)
+            seats.map { it.holder.usableFrom } shouldBe usableFrom
+        }
+
+        test("a process that has taken over a seat keeps it where the store has lost that") {
+            val store = SeatStore()
+            SeatFixture(vm("a@1", address = "a"), emptyList(), store)
+            val copy = store.entry
+            val next = SeatFixture(vm("a@2", address = "a"), emptyList(), store)
+            repeat(3) { next.run() }
+            store.entry = copy
+            next.eraChanged()
+            store.entry.value shouldBe "a@2=a:1"
+            next.holder.count shouldBe 1
+        }
+
         test("a VM whose seat was given to another stops using it") {
             val store = SeatStore()
             val seat = SeatFixture(vm("a"), emptyList(), store)
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/ProcessLeaseTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/ProcessLeaseTest.kt
@@ -5,6 +5,7 @@
 import cicadagauge.node.Effects
 import cicadagauge.node.OwnershipSettings
 import cicadagauge.node.Timers
+import cicadagauge.store.StoreCall
 import cicadagauge.store.StoreClient
 import cicadagauge.store.StoreLeaseId
 import cicadagauge.store.StoreReply
@@ -31,9 +32,18 @@
         timers.run(now)
     }
 
-    fun answer() {
-        effects.take().filterIsInstance<Effect.CallStore>().forEach { calls.addLast(it) }
-        store.replied(calls.removeFirst().id, StoreReply.LeaseHeld(StoreLeaseId(1)), now)
+    /** The next call that has no answer yet. */
+    fun nextCall(): StoreCall {
+        effects.take().forEach { effect ->
+            if (effect is Effect.CallStore) calls.addLast(effect)
+            if (effect is Effect.CancelStoreCall) calls.removeIf { it.id == effect.id }
+        }
+        return calls.first().call
+    }
+
+    fun answer(lease: Long = 1) {
+        nextCall()
+        store.replied(calls.removeFirst().id, StoreReply.LeaseHeld(StoreLeaseId(lease)), now)
     }
 
     fun isValid() = now < lease.validUntil
@@ -63,4 +73,18 @@
             fixture.answer()
             fixture.isValid() shouldBe true
         }
+
+        test("in a new era of the store the lease is void, and another one is created and renewed") {
+            val fixture = LeaseFixture()
+            fixture.advanceBy(200)
+            fixture.nextCall() shouldBe StoreCall.RenewLease(StoreLeaseId(1))
+            fixture.lease.eraChanged(fixture.now)
+            fixture.isValid() shouldBe false
+            fixture.nextCall() shouldBe StoreCall.CreateLease(OwnershipSettings().dutyLease)
+            fixture.answer(lease = 4)
+            fixture.isValid() shouldBe true
+            fixture.lease.id shouldBe StoreLeaseId(4)
+            fixture.advanceBy(200)
+            fixture.nextCall() shouldBe StoreCall.RenewLease(StoreLeaseId(4))
+        }
     })
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/store/StoreWatcherTest.kt
@@ -51,6 +51,7 @@
 
     init {
         vms.update(listOf(Vm(vms.self, Address("vm", 1), Address("vm", 1), vms.zone)), now)
+        store.onNewEra { _, at -> watcher.eraChanged(at) }
         watcher.start(now)
     }
 
@@ -80,9 +81,16 @@
         return cancelled
     }
 
-    fun answer(reply: StoreReply) {
+    fun answer(reply: StoreReply, era: Long? = null) {
         nextCall()
-        store.replied(pendingCalls.removeFirst().id, reply, now)
+        store.replied(pendingCalls.removeFirst().id, reply, now, era?.let(::StoreEra))
+    }
+
+    /** Answers the pending watch from the store's era [era], and the list that follows with [entries]. */
+    fun comeBack(era: Long, vararg entries: StoreEntry) {
+        answer(StoreReply.Changes(listOf(entry("late", "1", 8)), StoreRevision(8)), era)
+        nextCall() shouldBe StoreCall.List(PREFIX)
+        answer(StoreReply.Listed(entries.toList(), entries.maxOf { it.revision }), era)
     }
 }
 
@@ -164,6 +172,24 @@
             reader.values shouldBe mapOf("a" to "2", "b" to "1")
         }
 
+        test("all entries are read again in a new era, and nothing else counts of the reply that showed it") {
+            val watched = listed()
+            watched.comeBack(era = 1, entry("a", "0", 2), entry("c", "1", 4))
+            watched.values shouldBe mapOf("a" to "0", "c" to "1")
+            (watched.nextCall() as StoreCall.Watch).after shouldBe StoreRevision(4)
+        }
+
+        test("entries of a later era replace those of an earlier one, whatever their revisions, and not the reverse") {
+            val reader = listed()
+            val disconnected = listed()
+            disconnected.answer(StoreReply.Changes(listOf(entry("a", "9", 9)), StoreRevision(9)))
+            reader.comeBack(era = 1, entry("a", "0", 2))
+            disconnected.sendUpdateTo(reader)
+            reader.values shouldBe mapOf("a" to "0")
+            reader.sendUpdateTo(disconnected)
+            disconnected.values shouldBe mapOf("a" to "0")
+        }
+
         test("all entries are read again where the store reports a lower revision than before") {
             val watched = listed()
             watched.answer(StoreReply.Changes(emptyList(), StoreRevision(2)))
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/StoreCalls.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/StoreCalls.kt
@@ -13,10 +13,10 @@
     /** Makes the call of [effect]. */
     fun start(effect: Effect.CallStore) {
         var isEnded = false
-        val call = client.store(effect.call) { reply ->
+        val call = client.store(effect.call) { reply, era ->
             isEnded = true
             open -= effect.id
-            submit(Event.StoreReplied(effect.id, reply))
+            submit(Event.StoreReplied(effect.id, reply, era))
         }
         if (!isEnded) open[effect.id] = call
     }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpServer.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpServer.kt
@@ -44,6 +44,7 @@
     public val status: Int,
     public val body: ByteArray = ByteArray(0),
     public val contentType: String = "application/json",
+    public val headers: Map<String, String> = emptyMap(),
 )
 
 /** Handles requests and passes each response to `answer`, at once or later; null closes the connection instead. */
@@ -111,6 +112,7 @@
             val status = HttpResponseStatus.valueOf(response.status)
             val httpResponse =
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(response.body))
+            response.headers.forEach { (name, value) -> httpResponse.headers().set(name, value) }
             httpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, response.contentType)
             httpResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.body.size)
             HttpUtil.setKeepAlive(httpResponse, keepAlive)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/DefaultEnvironment.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/DefaultEnvironment.kt
@@ -17,6 +17,7 @@
 import cicadagauge.store.JsonCodecs
 import cicadagauge.store.NodeCodecs
 import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreReply
 import com.fasterxml.jackson.core.JacksonException
 import com.fasterxml.jackson.core.type.TypeReference
@@ -44,7 +45,8 @@
 
         override fun start(): Unit = pollVms()
 
-        override fun store(call: StoreCall, reply: (StoreReply) -> Unit): CancellableCall {
+        /** Makes [call]; the router's own store has one era only, and tells none. */
+        override fun store(call: StoreCall, reply: (StoreReply, StoreEra?) -> Unit): CancellableCall {
             val wait = if (call is StoreCall.Watch) call.wait else Duration.ZERO
             val body = STORE_WRITER.writeValueAsBytes(call)
             val jsonCall = JsonCall(
@@ -56,7 +58,7 @@
             )
             return client.call(jsonCall) { responseBody ->
                 val parsed = responseBody?.let { parse { Json.mapper.readValue(it, StoreReply::class.java) } }
-                reply(parsed ?: StoreReply.Unavailable)
+                reply(parsed ?: StoreReply.Unavailable, null)
             }
         }
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/Environment.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/Environment.kt
@@ -13,6 +13,7 @@
 import cicadagauge.ownership.RangeOwner
 import cicadagauge.store.NodeCodecs
 import cicadagauge.store.StoreCall
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreReply
 import io.netty.channel.EventLoop
 
@@ -39,8 +40,11 @@
     /** Starts reporting events that the gateway did not ask for, such as changes of the VM list. */
     public fun start()
 
-    /** Makes [call] on the store; [reply] is called exactly once, with the result, unless the call is cancelled. */
-    public fun store(call: StoreCall, reply: (StoreReply) -> Unit): CancellableCall
+    /**
+     * Makes [call] on the store; [reply] is called exactly once, with the result and the era that the store's answer
+     * tells, if any, unless the call is cancelled.
+     */
+    public fun store(call: StoreCall, reply: (StoreReply, StoreEra?) -> Unit): CancellableCall
 
     /** Sends [order] to the upstream at [address]. The upstream's report, if any, is submitted as an event. */
     public fun grant(address: Address, order: GrantOrder)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -64,6 +64,12 @@
         is StateChange.Suspended -> write("suspended", "unseen" to change.unseen)
         is StateChange.UpstreamsReached -> write("upstreams-reached", "reached" to change.reached)
         is StateChange.StoreReachable -> write("store-reachable", "reachable" to change.reachable)
+        is StateChange.StoreEraChanged -> write(
+            "store-era",
+            "old" to change.previous,
+            "new" to change.era,
+            "writtenAgain" to change.writtenAgain.joinToString(),
+        )
         is StateChange.WatchEnded -> writeWatchEnd(change)
     }
 
--- a/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreModel.kt
+++ b/cicadagauge-standins/src/main/kotlin/cicadagauge/standins/store/StoreModel.kt
@@ -7,6 +7,7 @@
 import cicadagauge.identity.Moment
 import cicadagauge.store.StoreCall
 import cicadagauge.store.StoreEntry
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreKey
 import cicadagauge.store.StoreLeaseId
 import cicadagauge.store.StoreReply
@@ -23,6 +24,10 @@
     private var compactedUpTo = 0L
     private var lastLeaseId = 0L
 
+    /** The present era, which rises with each [comeBackFrom]. */
+    public var era: StoreEra = StoreEra.FIRST
+        private set
+
     /** Number of calls handled; a watch counts once, however long it waits. */
     public var calls: Long = 0
         private set
@@ -74,6 +79,34 @@
         entries.values.removeIf { it.value == null }
     }
 
+    /** Returns a copy of all that the store has at [now]. */
+    public fun copy(now: Moment): StoreCopy = StoreCopy(
+        entries = LinkedHashMap(entries),
+        leaseByKey = HashMap(leaseByKey),
+        leases = leases.mapValues { (_, lease) -> StoreCopy.CopiedLease(lease.call, lease.expiresAt - now) },
+        revision = revision,
+        compactedUpTo = compactedUpTo,
+        lastLeaseId = lastLeaseId,
+    )
+
+    /**
+     * Comes back from [copy] at [now], in a new era. What was written since is gone, and its revisions and leases are
+     * given out again. Leases of the copy have the time left that they had then. Pending watches get no answer.
+     */
+    public fun comeBackFrom(copy: StoreCopy, now: Moment) {
+        era = StoreEra(era.value + 1)
+        watches.clear()
+        entries.clear()
+        entries += copy.entries
+        leaseByKey.clear()
+        leaseByKey += copy.leaseByKey
+        leases.clear()
+        copy.leases.forEach { (id, lease) -> leases[id] = Lease(lease.call, now + lease.timeLeft) }
+        revision = copy.revision
+        compactedUpTo = copy.compactedUpTo
+        lastLeaseId = copy.lastLeaseId
+    }
+
     private fun put(call: StoreCall.Put): StoreReply {
         writes++
         val current = entry(call.key)
@@ -104,7 +137,7 @@
     }
 
     private fun watch(call: StoreCall.Watch, now: Moment, reply: (StoreReply) -> Unit) {
-        if (call.after.value < compactedUpTo) return reply(StoreReply.HistoryLost)
+        if (call.after.value !in compactedUpTo..revision) return reply(StoreReply.HistoryLost)
         val watch = Watch(call, now + call.wait, reply)
         watches += watch
         if (changesFor(call).isNotEmpty() || !call.wait.isPositive()) complete(watch)
--- a/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/store/StoreModelTest.kt
+++ b/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/store/StoreModelTest.kt
@@ -3,6 +3,7 @@
 import cicadagauge.identity.Moment
 import cicadagauge.store.StoreCall
 import cicadagauge.store.StoreEntry
+import cicadagauge.store.StoreEra
 import cicadagauge.store.StoreKey
 import cicadagauge.store.StoreLeaseId
 import cicadagauge.store.StoreReply
@@ -62,4 +63,42 @@
             store.expire(Moment.ZERO + 5.seconds)
             received shouldBe StoreReply.Changes(emptyList(), StoreRevision(3))
         }
+
+        test("a store that comes back from a copy has lost what was written since, and gives it out again") {
+            val store = StoreModel()
+            store.execute(StoreCall.CreateLease(2.seconds))
+            store.execute(StoreCall.Put(key, "1", StoreRevision.ABSENT, StoreLeaseId(1)))
+            val copy = store.copy(Moment.ZERO + 1.seconds)
+            store.execute(StoreCall.Put(key, "2", StoreRevision(1), StoreLeaseId(1)), Moment.ZERO + 1.seconds)
+            store.execute(StoreCall.CreateLease(2.seconds), Moment.ZERO + 1.seconds)
+            store.comeBackFrom(copy, Moment.ZERO + 9.seconds)
+
+            store.era shouldBe StoreEra(1)
+            store.execute(StoreCall.Get(key), Moment.ZERO + 9.seconds) shouldBe
+                StoreReply.Found(StoreEntry(key, "1", StoreRevision(1)))
+            store.execute(StoreCall.Watch("a/", StoreRevision(2), 1.seconds), Moment.ZERO + 9.seconds) shouldBe
+                StoreReply.HistoryLost
+            store.execute(StoreCall.CreateLease(2.seconds), Moment.ZERO + 9.seconds) shouldBe
+                StoreReply.LeaseHeld(StoreLeaseId(2))
+            store.execute(StoreCall.Put(key, "3", StoreRevision(1)), Moment.ZERO + 9.seconds) shouldBe
+                StoreReply.Written(StoreRevision(2))
+        }
+
+        test("a lease of the copy ends when the time that it had left is over") {
+            val store = StoreModel()
+            store.execute(StoreCall.CreateLease(2.seconds))
+            val copy = store.copy(Moment.ZERO + 1.seconds)
+            store.comeBackFrom(copy, Moment.ZERO + 9.seconds)
+            store.execute(StoreCall.RenewLease(StoreLeaseId(1)), Moment.ZERO + 10.seconds) shouldBe
+                StoreReply.LeaseLapsed
+        }
+
+        test("a watch that was pending when the store came back gets no answer") {
+            val store = StoreModel()
+            var received: StoreReply? = null
+            store.handle(StoreCall.Watch("a/", StoreRevision.ABSENT, 5.seconds), Moment.ZERO) { received = it }
+            store.comeBackFrom(store.copy(Moment.ZERO), Moment.ZERO)
+            store.execute(StoreCall.Put(key, "1", StoreRevision.ABSENT))
+            received shouldBe null
+        }
     })
