--- a/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
+++ b/cicadagauge-bench/src/main/kotlin/cicadagauge/bench/virtual/VirtualFleet.kt
@@ -239,7 +239,7 @@
 
     private fun callStore(vm: VirtualVm, effect: Effect.CallStore) {
         observer.onStoreCall(this, vm, effect.call)
-        store.call(vm.endpoint, effect.call) { vm.submit(Event.StoreReplied(effect.id, it)) }
+        store.call(vm.endpoint, effect.call) { reply, era -> vm.submit(Event.StoreReplied(effect.id, reply, era)) }
     }
 
     private fun sendPeer(vm: VirtualVm, effect: Effect.SendPeer) {
--- a/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
+++ b/cicadagauge-config/src/test/kotlin/cicadagauge/store/JsonTest.kt
@@ -41,6 +41,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private fun positionAt(revision: Long) = StorePosition(StoreEra(2), StoreRevision(revision))
+
 class JsonTest :
     FunSpec({
         val pool = PoolName("catalogue")
@@ -63,7 +65,7 @@
                 PeerMessage.DeclarationUpdate(DeclarationVersion(4), "text"),
                 PeerMessage.RecordUpdate(record),
                 PeerMessage.Digest(DeclarationVersion(4), listOf(RecordDigest(pool, Term(3), RecordVersion(7)))),
-                PeerMessage.EntriesChanged("a/", StoreRevision(4), StoreRevision(6), listOf(deleted)),
+                PeerMessage.EntriesChanged("a/", positionAt(4), positionAt(6), listOf(deleted)),
                 PeerMessage.StoreNews(DeclarationVersion(4), listOf(PrefixDigest("a/", StoreRevision(6))), 1.seconds),
                 PeerMessage.StoreNewsQuery(DeclarationVersion(4), listOf(PrefixDigest("a/", StoreRevision(6)))),
                 PeerMessage.BudgetRequest(CustomerName("t"), 5, Moment(12), 2.seconds, 3),
@@ -110,6 +112,7 @@
                 ),
                 PeerMessage.Ping,
                 PeerMessage.Pong,
+                PeerMessage.NewEra(StoreEra(3)),
                 PeerMessage.UpstreamsReached(reached = false, sequence = 4),
                 PeerMessage.Leaving,
                 PeerMessage.OutageQuery(pool, Term(3), 8),
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/StoreNews.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dissemination/StoreNews.kt
@@ -22,7 +22,7 @@
 import cicadagauge.store.ReadingPolicy
 import cicadagauge.store.SharedEntries
 import cicadagauge.store.StoreClient
-import cicadagauge.store.StoreRevision
+import cicadagauge.store.StorePosition
 import cicadagauge.store.StoreWatcher
 import kotlin.time.Duration
 
@@ -110,7 +110,7 @@
     fun queryReceived(from: VmId, query: PeerMessage.StoreNewsQuery, now: Moment) {
         val vm = vms.lastKnown(from) ?: return
         if (query.declaration < declarations.version) declarations.updateMessage()?.let { vms.send(vm, it) }
-        val known = query.prefixes.associate { it.prefix to it.latest }
+        val known = query.prefixes.associate { it.prefix to it.position }
         sharedEntries.forEach { entries -> known[entries.prefix]?.let(entries::since)?.let { vms.send(vm, it) } }
         if (isFresh(now)) vms.send(vm, news(now))
         if (sharedEntries.any { entries -> known[entries.prefix]?.let { it > entries.latest } ?: false }) query(vm)
@@ -187,9 +187,9 @@
 
     private fun <T> compareWith(
         news: PeerMessage.StoreNews,
-        comparison: (own: StoreRevision, other: StoreRevision) -> T,
+        comparison: (own: StorePosition, other: StorePosition) -> T,
     ): List<T> {
-        val known = news.prefixes.associate { it.prefix to it.latest }
+        val known = news.prefixes.associate { it.prefix to it.position }
         return sharedEntries.mapNotNull { entries -> known[entries.prefix]?.let { comparison(entries.latest, it) } }
     }
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/store/StoreWatcher.kt
@@ -19,6 +19,12 @@
 
     /** One entry has changed; its value is null where the key was deleted. */
     fun entryChanged(entry: StoreEntry, now: Moment)
+
+    /**
+     * The store has come back from an older copy, in which it has [entries]; a value is null where a key that was known
+     * is missing.
+     */
+    fun rolledBack(entries: List<StoreEntry>, now: Moment): Unit = snapshot(entries, now)
 }
 
 /** Decides whether this VM reads the store itself, and passes on what is read there. */
@@ -56,6 +62,7 @@
 ) {
     private val known = HashSet<StoreKey>()
     private var revision = StoreRevision.ABSENT
+    private var listedEra = StoreEra.FIRST
 
     /** Whether all entries under the prefix were read at least once. */
     var isRead: Boolean = false
@@ -74,7 +81,12 @@
     fun adopt(update: PeerMessage.EntriesUpdate, now: Moment) {
         val entries = shared?.takeIf { it.prefix == update.prefix } ?: return
         val before = entries.latest
-        report(before, entries.adopt(update), now)
+        val isRolledBack = entries.isKnown && update.era > before.era
+        val changes = entries.adopt(update)
+        if (!isRolledBack) return report(before, changes, now)
+        changes.forEach(::noteKnown)
+        listener.rolledBack(changes, now)
+        policy?.listed(now)
     }
 
     /**
@@ -102,6 +114,12 @@
         return isUpToDate && (isConfirmed || hasWaited)
     }
 
+    /** Reads all entries again, because the store is in another era. */
+    fun eraChanged(now: Moment) {
+        isUpToDate = false
+        pendingWatch?.let { endWatch(it, WatchResult.HistoryLost, now) }
+    }
+
     /** Starts, or continues, to read and watch the prefix. */
     fun start(now: Moment) {
         isIdle = !isNeeded()
@@ -118,7 +136,7 @@
         val watch = pendingWatch
         when {
             isIdle && isNeeded() -> start(now)
-            watch != null && !isNeeded() -> end(watch, now)
+            watch != null && !isNeeded() -> endWatch(watch, WatchResult.Renewed, now)
         }
     }
 
@@ -150,24 +168,38 @@
     }
 
     private fun listed(reply: StoreReply.Listed, now: Moment) {
-        if (shared != null && reply.upTo < shared.latest) shared.reset()
+        val isRolledBack = isBehind()
+        shared?.begin(store.era)
+        if (shared != null && reply.upTo < shared.latest.revision) shared.reset()
         val present = reply.entries.map { it.key }.toSet()
         val deleted = known.filter { it !in present }
         isRead = true
         isUpToDate = true
         revision = reply.upTo
+        listedEra = store.era
         known.clear()
         known += present
-        listener.snapshot(reply.entries.filter(::applyIfNew), now)
-        deleted.map { StoreEntry(it, null, reply.upTo) }.filter(::applyIfNew).forEach { listener.entryChanged(it, now) }
+        val changed = reply.entries.filter(::applyIfNew)
+        val removed = deleted.map { StoreEntry(it, null, reply.upTo) }.filter(::applyIfNew)
+        if (isRolledBack) {
+            listener.rolledBack(changed + removed, now)
+        } else {
+            listener.snapshot(changed, now)
+            removed.forEach { listener.entryChanged(it, now) }
+        }
         policy?.listed(now)
         start(now)
     }
 
+    /** Whether what is known here is of an earlier era of the store. */
+    private fun isBehind(): Boolean =
+        if (shared == null) isRead && listedEra < store.era else shared.isKnown && shared.latest.era < store.era
+
     private fun watch(sentAt: Moment) {
         val wait = if (expectsLoss(sentAt)) settings.shortWatchWait else settings.watchWait
         // A peer's changes cover the whole prefix only where all of it is shared.
-        if (shared?.prefix == prefix) revision = maxOf(revision, shared.latest)
+        val position = shared?.takeIf { it.prefix == prefix }?.latest
+        if (position != null && position.era == listedEra) revision = maxOf(revision, position.revision)
         val call = StoreCall.Watch(prefix, after = revision, wait = wait)
         val id = store.call(call) { reply, now ->
             pendingWatch = null
@@ -210,14 +242,14 @@
     private fun renew(watch: PendingWatch, now: Moment) {
         val renewableAt = watch.sentAt + settings.minWatchRenewalInterval
         if (now < renewableAt) return timers.at(renewableAt) { if (pendingWatch == watch) renew(watch, it) }
-        end(watch, now)
+        endWatch(watch, WatchResult.Renewed, now)
     }
 
     /** Cancels [watch], and sends another one if it is needed. */
-    private fun end(watch: PendingWatch, now: Moment) {
+    private fun endWatch(watch: PendingWatch, result: WatchResult, now: Moment) {
         store.cancel(watch.id)
         pendingWatch = null
-        reportEnd(WatchResult.Renewed, waited = now - watch.sentAt)
+        reportEnd(result, waited = now - watch.sentAt)
         start(now)
     }
 
@@ -242,21 +274,27 @@
 
     /** Applies [entry] to [shared]; false if an update from a peer already covered it. */
     private fun applyIfNew(entry: StoreEntry): Boolean =
-        shared == null || entry.key !in shared || shared.applyEntry(entry)
+        shared == null || entry.key !in shared || shared.applyEntry(entry, store.era)
 
-    /** Delivers the [changes] that are new since revision [before], and has those in [shared] passed on. */
-    private fun report(before: StoreRevision, changes: List<StoreEntry>, now: Moment) {
+    /** Delivers the [changes] that are new since position [before], and has those in [shared] passed on. */
+    private fun report(before: StorePosition, changes: List<StoreEntry>, now: Moment) {
         changes.forEach { deliver(it, now) }
         val passedOn = changes.filter { shared != null && it.key in shared }
         if (shared == null || passedOn.isEmpty()) return
+        // Differences between eras are not passed on one by one: what was deleted is not among them.
+        if (before.era != shared.latest.era) return policy?.listed(now) ?: Unit
         policy?.changed(PeerMessage.EntriesChanged(shared.prefix, before, shared.latest, passedOn), now)
     }
 
     private fun deliver(entry: StoreEntry, now: Moment) {
-        if (entry.value == null) known -= entry.key else known += entry.key
+        noteKnown(entry)
         listener.entryChanged(entry, now)
     }
 
+    private fun noteKnown(entry: StoreEntry) {
+        if (entry.value == null) known -= entry.key else known += entry.key
+    }
+
     private fun listAgain(now: Moment) {
         isUpToDate = false
         start(now)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpServer.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpServer.kt
@@ -112,6 +112,7 @@
             val status = HttpResponseStatus.valueOf(response.status)
             val httpResponse =
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(response.body))
+            response.headers.forEach { (name, value) -> httpResponse.headers().set(name, value) }
             httpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, response.contentType)
             httpResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.body.size)
             response.headers.forEach { (name, value) -> httpResponse.headers().set(name, value) }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -75,6 +75,12 @@
             "reading" to change.isReading,
             "newsAgeMillis" to change.newsAge.inWholeMilliseconds,
         )
+        is StateChange.StoreEraChanged -> write(
+            "store-era",
+            "old" to change.previous,
+            "new" to change.era,
+            "writtenAgain" to change.writtenAgain.joinToString(),
+        )
         is StateChange.WatchEnded -> writeWatchEnd(change)
     }
 
