--- a/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/peer/PeerMessage.kt
@@ -91,8 +91,8 @@
     }
 
     /**
-     * Passes on the changes under [prefix] after position [after], up to [upTo] in the same era, to a receiver that knows
-     * those before.
+     * Passes on the changes under [prefix] after position [after], up to [upTo] in the same era, to a receiver that
+     * knows those before.
      *
      * @property entries changed entries in the order of their revisions; the value of a deleted one is null.
      */
