--- a/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/dispatch/SchedulerTest.kt
@@ -285,6 +285,20 @@
             fixture.denied.getValue(overtaken).reason shouldBe Reason.Overloaded
         }
 
+        test("a request that can be answered in time goes before one that is late already") {
+            val fixture = SchedulerFixture(count = 1)
+            val now = fixture.warmUp(60.milliseconds)
+            val running = List(2) { fixture.submit(now) }
+            val late = fixture.submit(now, deadline = 1.seconds, target = Duration.ZERO)
+            val timely = fixture.submit(now, deadline = 1.seconds, target = 300.milliseconds)
+            fixture.releaseServed(running[0], 60.milliseconds, now)
+            (timely in fixture.reserved) shouldBe true
+            (late in fixture.reserved) shouldBe false
+            (late in fixture.denied) shouldBe false
+            fixture.releaseServed(running[1], 60.milliseconds, now)
+            (late in fixture.reserved) shouldBe true
+        }
+
         test("a request whose slot is moving to another owner waits for that owner, but not for long") {
             val owners = OwnerDirectory()
             val fixture = SchedulerFixture(count = 2, isKeyed = true, owners = owners)
