Upstreams: a head with the status 000, or another that is none, is no answer

UpstreamHandler passed on any three digits, and 0 stood for "no head yet" besides, so that the attempt never ended; JsonHttpClient took such heads, 101 and interim responses for answers to calls.

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
@@ -5,6 +5,8 @@
 package cicadagauge.gateway.control
 
 import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.gateway.ResponseHead
+import cicadagauge.gateway.ResponseHeads
 import cicadagauge.gateway.isConnectionRefused
 import cicadagauge.identity.Address
 import io.netty.buffer.Unpooled
@@ -211,11 +213,19 @@
     /** Ends a call once all that arrived with its response is read; if that is more, the connection is closed. */
     private inner class ResponseHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
         var current: PendingCall? = null
+            set(value) {
+                field = value
+                heads.expectNext()
+            }
+        private val heads = ResponseHeads()
         private var answer: CallResult.Answered? = null
         private var canBeReused = false
 
         override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
-            if (current == null || answer != null || response.decoderResult().isFailure) {
+            val isReadable = current != null && answer == null && !response.decoderResult().isFailure
+            val head = if (isReadable) heads.classify(response) else ResponseHead.Invalid
+            if (head == ResponseHead.Interim) return
+            if (head == ResponseHead.Invalid) {
                 canBeReused = false
                 context.close()
                 return
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -1,6 +1,8 @@
 package cicadagauge.gateway.upstream
 
 import cicadagauge.gateway.ProtocolHeaders
+import cicadagauge.gateway.ResponseHead
+import cicadagauge.gateway.ResponseHeads
 import cicadagauge.gateway.UpstreamLimits
 import cicadagauge.gateway.caller.Exchange
 import cicadagauge.gateway.environment.Dialect
@@ -17,7 +19,6 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -42,8 +43,10 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
 
-    /** The status of the response that is being read, or 0 before its head. */
-    private var status = 0
+    private val heads = ResponseHeads()
+
+    /** The status of the response that is being read, or null before its head. */
+    private var status: Int? = null
     private var isComplete = false
     private var keepAlive = false
     private var isClosing = false
@@ -85,7 +88,8 @@
     /** Reads the next response for [next]. */
     fun begin(next: UpstreamAttempt) {
         attempt = next
-        status = 0
+        heads.expectNext()
+        status = null
         isComplete = false
         isOverdue = false
         rejection = null
@@ -181,8 +185,11 @@
     }
 
     private fun readHead(context: ChannelHandlerContext, running: UpstreamAttempt, response: HttpResponse) {
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
-        status = response.status().code()
+        when (heads.classify(response)) {
+            ResponseHead.Interim -> return
+            ResponseHead.Invalid -> return failAttempt(running)
+            ResponseHead.Answer -> status = response.status().code()
+        }
         slowness = dialect.slowness(response.headers())
         if (!running.hop.isRelay && !isResponseTo(running, response)) return failAttempt(running)
         rejection = if (running.hop.isRelay) homeRefusal(response) else notRun(response)
@@ -198,7 +205,7 @@
     }
 
     private fun readContent(running: UpstreamAttempt, content: HttpContent) {
-        if (status == 0) {
+        if (status == null) {
             content.release()
             return
         }
@@ -216,11 +223,12 @@
 
     private fun endResponse(running: UpstreamAttempt) {
         val rejected = rejection
+        val answered = status ?: return failAttempt(running)
         if (rejected != null) {
             rejectedRequests += identityOf(running.exchange)
             if (rejectedRequests.size > MAX_REJECTED_REQUESTS) keepAlive = false
         }
-        running.end(rejected ?: AttemptOutcome.Answered(status, slowness))
+        running.end(rejected ?: AttemptOutcome.Answered(answered, slowness))
     }
 
     /** Ends the attempt, whose connection failed; a rejection holds all the same. */
