Memory: one account of what callers make a VM hold, and bounds on its connections

Causes: heads whose fields take 40 times their bytes, decoded while they stop short and up to eight ahead; pieces of bodies of one byte that each keep a buffer; bodies without bound while an upstream is being connected; answers that nobody reads piling up behind pipelined requests; bodies of 8 MB on the control port before the secret is checked; 10,000 connections where the process has 2,212 descriptors.

MemoryAccount adds up what connections hold, pauses reading on those over their part, and gives up those that hold most, first where "not run" is true (503, memory-full). ConnectionTable puts a new connection in the place of the one that was read least recently.

Not done: limits of the operators' configuration, bytes in flight for each upstream.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/Outcome.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/Outcome.kt
@@ -44,6 +44,7 @@
     HeaderTooLarge("header-too-large", 431, Verdict.NotRun),
     NoConfiguration("no-configuration", 503, Verdict.NotRun),
     Overloaded("overloaded", 503, Verdict.NotRun),
+    MemoryFull("memory-full", 503, Verdict.NotRun),
     UpstreamBusy("upstream-busy", 503, Verdict.NotRun),
     NoUpstream("no-upstream", 503, Verdict.NotRun),
     OwnerUnavailable("owner-unavailable", 503, Verdict.NotRun),
--- a/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/run/GatewayCommand.kt
+++ b/cicadagauge-cli/src/main/kotlin/cicadagauge/cli/run/GatewayCommand.kt
@@ -6,6 +6,7 @@
 import cicadagauge.cli.Settings
 import cicadagauge.gateway.Gateway
 import cicadagauge.gateway.GatewaySettings
+import cicadagauge.gateway.MemoryLimits
 import cicadagauge.gateway.environment.DefaultEnvironment
 import cicadagauge.identity.AvailabilityZone
 import cicadagauge.identity.VmId
@@ -38,6 +39,12 @@
     @Option(name = "--drain-limit", usage = "most milliseconds that a planned stop may take")
     var drainLimit: String? = null
 
+    @Option(name = "--held-kb", usage = "most kilobytes to hold for callers; a part of the heap by default")
+    var heldKb: String? = null
+
+    @Option(name = "--descriptors", usage = "file descriptors that the process may have; its own limit by default")
+    var descriptors: String? = null
+
     override fun run(console: Console): ExitCode {
         val settings = Settings()
         val gateway = readGatewaySettings(settings)
@@ -61,9 +68,17 @@
         callers = settings.address("--callers", callers),
         control = settings.address("--control", control),
         secret = settings.text("--secret", secret),
+        memory = MemoryLimits().let { default ->
+            val mostKilobytes = (Runtime.getRuntime().maxMemory() / KILOBYTE).toInt()
+            val kilobytes = settings.int("--held-kb", heldKb, 1..mostKilobytes, (default.heldBytes / KILOBYTE).toInt())
+            default.copy(heldBytes = kilobytes.toLong() * KILOBYTE)
+        },
+        descriptors = settings.int("--descriptors", descriptors, DESCRIPTOR_RANGE, ProcessLimits.descriptors()),
     )
 
     private companion object {
+        const val KILOBYTE = 1_024
+        val DESCRIPTOR_RANGE = 1..Int.MAX_VALUE
         const val DEFAULT_DRAIN_LIMIT_MILLIS = 10_000
         val DRAIN_LIMIT_RANGE_MILLIS = 100..600_000
     }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/Gateway.kt
@@ -12,6 +12,8 @@
 import cicadagauge.gateway.control.PeerSender
 import cicadagauge.gateway.environment.Environment
 import cicadagauge.gateway.log.EventLog
+import cicadagauge.gateway.memory.ConnectionTable
+import cicadagauge.gateway.memory.MemoryAccount
 import cicadagauge.gateway.metrics.GatewayMetrics
 import cicadagauge.gateway.upstream.UpstreamConnections
 import cicadagauge.identity.Address
@@ -38,7 +40,9 @@
     private val driver = NodeDriver(node, loop)
     private val log = EventLog(settings.node.vm, MonotonicClock::now)
     private val loopMonitor = EventLoopMonitor()
-    private val metrics = GatewayMetrics { status().pendingRequests }
+    private val account = MemoryAccount(settings.memory) { giveUpLater() }
+    private val shares = settings.descriptors?.let(::DescriptorShares)
+    private val metrics = GatewayMetrics(account) { status().pendingRequests }
     private val connections = UpstreamConnections(loop, settings.upstreams, environment.dialect) { address, bytes ->
         metrics.countUnsolicited()
         log.write("unsolicited-bytes", "address" to address, "bytes" to bytes)
@@ -50,9 +54,13 @@
     private val platformClient = environment.connect(loop, driver::submit)
     private val storeCalls = StoreCalls(platformClient, driver::submit)
     private val handler = ControlHandler(DeploymentSecret(settings.secret), driver, ::status, metrics)
-    private val control = JsonHttpServer(group, settings.control, handler)
-    private val readiness = settings.readiness?.let { JsonHttpServer(group, it, handler::handlePublic) }
+    private val control = JsonHttpServer(group, settings.control, shares?.control, handler)
+    private val readiness = settings.readiness?.let {
+        JsonHttpServer(group, it, shares?.readiness, handler.publicHandler)
+    }
     private val callers = DefaultChannelGroup(loop)
+    private val callerTable =
+        ConnectionTable<CallerHandler>(minOf(settings.limits.connections, shares?.callers ?: Int.MAX_VALUE))
 
     @Volatile private var listeners = emptyList<Channel>()
 
@@ -71,6 +79,7 @@
         loop.execute {
             driver.submit(Event.Started)
             loopMonitor.start(loop)
+            loop.scheduleWithFixedDelay(::checkProgress, 1, 1, TimeUnit.SECONDS)
             platformClient.start()
             log.write("started", "callers" to settings.callers, "zone" to settings.node.zone)
             if (settings.callers != settings.relays) {
@@ -167,10 +176,28 @@
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    /** Gives up connections after those that are ready have been read. */
+    private fun giveUpLater() {
+        loop.execute { account.giveUp(registry::recordGivenUp) }
+    }
+
+    private fun checkProgress() {
+        callerTable.all.forEach { it.checkProgress() }
+        control.closeStalled()
+        readiness?.closeStalled()
+    }
+
     private fun listen(address: Address): Channel = bind(address).sync().channel()
 
-    private fun bind(address: Address): ChannelFuture =
-        CallerPort(group, registry, settings.limits, callers, acceptsRelays = address == settings.relays).bind(address)
+    private fun bind(address: Address): ChannelFuture = CallerPort(
+        group,
+        registry,
+        settings.limits,
+        callers,
+        acceptsRelays = address == settings.relays,
+        callerTable,
+        account,
+    ).bind(address)
 
     private fun carryOut(effect: Effect) {
         when (effect) {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
@@ -17,6 +17,8 @@
  * @property readiness address of an additional port that serves only health, readiness and metrics; null for none
  * @property limits bounds on callers' connections and requests
  * @property upstreams bounds on connections to upstreams
+ * @property memory bounds on what callers make this process hold
+ * @property descriptors how many file descriptors the process may have, or null if that is not known
  * @property platform timeouts of calls to the platform and to peers
  * @property stop times of a planned stop
  * @property maxOpenDelay maximum time after the start for which the callers' port stays closed because there is no
@@ -32,6 +34,8 @@
     val readiness: Address? = null,
     val limits: CallerLimits = CallerLimits(),
     val upstreams: UpstreamLimits = UpstreamLimits(),
+    val memory: MemoryLimits = MemoryLimits(),
+    val descriptors: Int? = null,
     val platform: PlatformTimes = PlatformTimes(),
     val stop: StopTimes = StopTimes(),
     val maxOpenDelay: Duration = 3.seconds,
@@ -58,7 +62,8 @@
 /**
  * Bounds on callers' connections and requests.
  *
- * @property connections maximum number of open connections; further ones are closed at once
+ * @property connections maximum number of open connections. A further one takes the place of one that is idle or makes
+ * no progress; where there is none, it is closed at once.
  * @property requestLineBytes maximum length of a request line
  * @property headerBytes maximum total length of a request's headers
  * @property maxBodyBytes maximum length of a request body in bytes
@@ -68,7 +73,8 @@
  * @property readAheadBytes how many bytes of further requests are buffered before reading from the connection pauses
  * @property idleTimeout how long a caller may send nothing, between requests or within one, before its connection is
  * closed; fractions of a second are ignored
- * @property requestProgress not enforced at present
+ * @property headTimeout how long the head of a request may take after its first byte; whole seconds
+ * @property requestProgress how long the body of a request may make no progress while it is being read; whole seconds
  */
 public data class CallerLimits(
     val connections: Int = 10_000,
@@ -79,9 +85,47 @@
     val readAheadRequests: Int = 8,
     val readAheadBytes: Int = 65_536,
     val idleTimeout: Duration = 60.seconds,
-    val requestProgress: Duration = 10.seconds,
+    val headTimeout: Duration = 10.seconds,
+    val requestProgress: Duration = 20.seconds,
 )
 
+/**
+ * Bounds on what callers make a process hold in memory.
+ *
+ * @property heldBytes how many bytes may be held for all callers together, as estimated. From half of them on, reading
+ * pauses on the connections that hold most; at all of them, requests are refused.
+ * @property connectionFloorBytes how much each connection may hold without a pause
+ */
+public data class MemoryLimits(val heldBytes: Long = defaultHeldBytes(), val connectionFloorBytes: Long = 8_192) {
+    private companion object {
+        /** The part of the heap that is held for callers at most; the rest is for the node and for garbage. */
+        const val PART_OF_HEAP = 0.375
+
+        fun defaultHeldBytes(): Long = (Runtime.getRuntime().maxMemory() * PART_OF_HEAP).toLong()
+    }
+}
+
+/**
+ * How the descriptors of a process are divided. The rest is for upstreams, peers and the store.
+ *
+ * @property callers connections of callers and of VMs that relay requests
+ * @property control connections of peers and operators
+ * @property readiness connections of health checks
+ */
+internal class DescriptorShares(total: Int) {
+    private val sockets = maxOf(0, total - RESERVED_FOR_FILES)
+
+    val callers: Int = maxOf(MIN_CONNECTIONS, sockets / 2)
+    val control: Int = maxOf(MIN_CONNECTIONS, sockets / 8)
+    val readiness: Int = maxOf(MIN_CONNECTIONS, sockets / 16)
+
+    private companion object {
+        /** Descriptors for the program's own files. */
+        const val RESERVED_FOR_FILES = 200
+        const val MIN_CONNECTIONS = 8
+    }
+}
+
 /**
  * Bounds on connections to upstreams.
  *
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -5,6 +5,8 @@
 import cicadagauge.gateway.environment.DefaultDialect
 import cicadagauge.gateway.environment.Dialect
 import cicadagauge.gateway.log.EventLog
+import cicadagauge.gateway.memory.EvictionRank
+import cicadagauge.gateway.memory.HolderState
 import cicadagauge.gateway.metrics.GatewayMetrics
 import cicadagauge.gateway.upstream.Hop
 import cicadagauge.gateway.upstream.RelayHeader
@@ -95,6 +97,30 @@
         metrics.countRefusal(refusal.reason)
     }
 
+    /** Records that a connection was closed to make room for another one. */
+    fun recordEviction(rank: EvictionRank) {
+        metrics.countClosed("evicted-${rank.name}")
+        log.write("connection-evicted", "state" to rank)
+    }
+
+    /** Records that a new connection was closed, because there is no room for it. */
+    fun recordNoRoom() {
+        metrics.countClosed("no-room")
+        log.write("connection-refused")
+    }
+
+    /** Records that a connection is closed because a request has made no progress, [isInHead] or in its body. */
+    fun recordSlowRequest(isInHead: Boolean) {
+        metrics.countClosed(if (isInHead) "slow-head" else "slow-body")
+        log.write("request-too-slow", "part" to if (isInHead) "head" else "body")
+    }
+
+    /** Records that a connection in [state] that holds [bytes] is given up, because this VM's memory is full. */
+    fun recordGivenUp(state: HolderState, bytes: Long) {
+        metrics.countClosed("memory-${state.name}")
+        log.write("memory-given-up", "state" to state, "bytes" to bytes)
+    }
+
     /** Records that a caller sends so far ahead that reading from its connection pauses. */
     fun recordReadAheadPause() {
         metrics.countReadAheadPause()
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerCodec.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerCodec.kt
@@ -1,6 +1,7 @@
 package cicadagauge.gateway.caller
 
 import cicadagauge.gateway.CallerLimits
+import cicadagauge.gateway.CompleteHeadDecoder
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
@@ -8,7 +9,6 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseEncoder
 
@@ -17,18 +17,21 @@
  * for is kept as bytes; beyond [CallerLimits.readAheadBytes] of them, reading from the connection pauses.
  */
 internal class StrictRequestDecoder(private val limits: CallerLimits, private val handler: CallerHandler) :
-    HttpRequestDecoder(config(limits)) {
+    CompleteHeadDecoder(limits.requestLineBytes + limits.headerBytes, config(limits)) {
     private var isPaused = false
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         super.channelRead(context, message)
+        handler.undecodedBytes = heldBytes
         if (isPaused || actualReadableBytes() < limits.readAheadBytes) return
         isPaused = true
         handler.pauseReadAhead(true)
     }
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
-        if (!handler.isReadAheadFull) super.decode(context, buffer, out)
+        if (handler.isReadAheadFull) return
+        super.decode(context, buffer, out)
+        handler.lastHeadBytes = headBytes
     }
 
     /** Continues to decode after [handler] has room again. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerHandler.kt
@@ -7,6 +7,11 @@
 import cicadagauge.gateway.CallerLimits
 import cicadagauge.gateway.ProtocolHeaders
 import cicadagauge.gateway.RequestRegistry
+import cicadagauge.gateway.memory.Evictable
+import cicadagauge.gateway.memory.EvictionRank
+import cicadagauge.gateway.memory.Holder
+import cicadagauge.gateway.memory.HolderState
+import cicadagauge.gateway.memory.MemoryAccount
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.Reason
 import cicadagauge.outcome.Refusal
@@ -34,11 +39,18 @@
     private val registry: RequestRegistry,
     private val limits: CallerLimits,
     private val acceptsRelays: Boolean,
-) : ChannelInboundHandlerAdapter() {
+    account: MemoryAccount = MemoryAccount(),
+    private val onRead: (CallerHandler) -> Unit = {},
+) : ChannelInboundHandlerAdapter(),
+    Holder,
+    Evictable {
     private lateinit var context: ChannelHandlerContext
-    private val pipelined = ArrayDeque<HttpObject>()
-    private var pipelinedRequests = 0
-    private var pipelinedBytes = 0
+    private val share = account.open(this)
+    private val memory = account
+    private val readAhead = ReadAhead(limits)
+    private val progress = ProgressMonitor(limits)
+    private var isMemoryPaused = false
+    private var carriesRelays = false
     private var isBodyPaused = false
     private var isReadAheadPaused = false
     private var current: Exchange? = null
@@ -46,6 +58,12 @@
     private var keepAlive = true
     private var isClosing = false
 
+    /** The estimated memory that undecoded data takes, in bytes; set by the decoder. */
+    var undecodedBytes = 0L
+
+    /** The length of the head that was decoded last, in bytes; set by the decoder. */
+    var lastHeadBytes = 0
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
@@ -57,38 +75,103 @@
         }
         val exchange = current
         if (exchange == null || !exchange.isBodyComplete) return read(message)
-        countPipelined(message, sign = 1)
-        pipelined.addLast(message)
-    }
-
-    private fun countPipelined(message: HttpObject, sign: Int) {
-        if (message is HttpRequest) pipelinedRequests += sign
-        if (message is HttpContent) pipelinedBytes += sign * message.content().readableBytes()
+        readAhead.add(message, lastHeadBytes)
     }
 
     /** Whether the caller's connection is open. Its end is noticed here before [channelInactive] is called. */
     val isConnected: Boolean get() = context.channel().isActive
 
     /** Whether no further request should be decoded, until the current one has been answered. */
-    val isReadAheadFull: Boolean
-        get() = pipelinedRequests >= limits.readAheadRequests || pipelinedBytes >= limits.readAheadBytes
+    val isReadAheadFull: Boolean get() = readAhead.isFull || (!isReceiving && !context.channel().isWritable)
+
+    private val isReceiving: Boolean get() = current?.isBodyComplete == false
+
+    override val holderState: HolderState
+        get() {
+            val exchange = current
+            return when {
+                exchange == null -> if (pendingAnswerBytes > 0) HolderState.Answering else HolderState.Unread
+                !exchange.wasAttempted -> HolderState.Waiting
+                !exchange.isBodyComplete -> HolderState.Receiving
+                else -> HolderState.Answering
+            }
+        }
+
+    override val evictionRank: EvictionRank?
+        get() = when {
+            carriesRelays -> null
+            pendingAnswerBytes > 0 && !context.channel().isWritable -> EvictionRank.NotReading
+            current == null -> EvictionRank.BetweenRequests
+            isReceiving -> EvictionRank.Receiving
+            else -> null
+        }
+
+    override fun pauseForMemory(pause: Boolean) {
+        isMemoryPaused = pause
+        applyPauses()
+        current?.attempt?.pauseResponse(pause || !context.channel().isWritable)
+    }
+
+    override fun giveUp() {
+        val exchange = current
+        if (exchange == null || exchange.wasAttempted || !context.channel().isWritable) return evict()
+        keepAlive = false
+        registry.callerDisconnected(exchange)
+        refuseWithoutNode(exchange, MEMORY_FULL)
+    }
+
+    override fun evict() {
+        current?.let(registry::callerDisconnected)
+        current = null
+        isClosing = true
+        context.close()
+    }
+
+    /** Updates what this connection holds. */
+    private fun account() {
+        val exchange = current
+        share.set(
+            heads = undecodedBytes + (exchange?.heldHeadBytes ?: 0L),
+            ahead = readAhead.heldBytes,
+            bodies = exchange?.heldBodyBytes ?: 0L,
+            answers = pendingAnswerBytes,
+        )
+    }
+
+    private val pendingAnswerBytes: Long
+        get() = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L
+
+    /** Closes the connection if the head or the body of a request takes too long; called once a second. */
+    fun checkProgress() {
+        account()
+        val isInHead = current == null && undecodedBytes > 0 && !isReadAheadFull
+        val isOverdue = progress.isOverdue(isInHead, isReceiving && !isBodyPaused && !isMemoryPaused)
+        if (!isOverdue) return
+        registry.recordSlowRequest(isInHead)
+        evict()
+    }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
+        progress.recordRead()
+        onRead(this)
+        account()
         context.flush()
         context.fireChannelReadComplete()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         isClosing = true
-        pipelined.forEach(ReferenceCountUtil::release)
-        pipelined.clear()
-        val exchange = current ?: return
+        current?.let(registry::callerDisconnected)
         current = null
-        registry.callerDisconnected(exchange)
+        readAhead.clear()
+        share.close()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        current?.attempt?.pauseResponse(!context.channel().isWritable)
+        val isWritable = context.channel().isWritable
+        current?.attempt?.pauseResponse(isMemoryPaused || !isWritable)
+        account()
+        if (isWritable) context.executor().execute(::resumeReadAhead)
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
@@ -108,7 +191,7 @@
         registry.dialect.addRefusalHeaders(response.headers(), exchange.request.headers())
         if (exchange.hasMoreBody) keepAlive = false
         setConnectionHeader(response)
-        writeAndFlush(response)
+        context.writeAndFlush(response)
         finish(exchange)
     }
 
@@ -127,7 +210,8 @@
             return
         }
         context.write(content)
-        exchange.attempt?.pauseResponse(!context.channel().isWritable)
+        exchange.attempt?.pauseResponse(isMemoryPaused || !context.channel().isWritable)
+        account()
     }
 
     /** Sends what has been written so far. */
@@ -173,7 +257,7 @@
     }
 
     private fun applyPauses() {
-        context.channel().config().isAutoRead = !isBodyPaused && !isReadAheadPaused
+        context.channel().config().isAutoRead = !isBodyPaused && !isReadAheadPaused && !isMemoryPaused
     }
 
     private fun read(message: HttpObject) {
@@ -188,33 +272,23 @@
 
     private fun readHead(request: HttpRequest) {
         keepAlive = HttpUtil.isKeepAlive(request) && !registry.draining
-        val exchange = Exchange(registry.nextId(), request, this, limits)
+        val exchange = Exchange(registry.nextId(), request, this, limits, lastHeadBytes)
         current = exchange
         isDiscardingBody = false
         context.pipeline().get(ResponseEncoder::class.java).expect(request)
-        val problem = problemOf(request)
+        val problem = problemOf(request, limits)
         if (problem != null) return refuseWithoutNode(exchange, problem)
-        if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(continueResponse())
+        account()
+        if (memory.isFull && share.isOverFairShare) return refuseWithoutNode(exchange, MEMORY_FULL)
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        }
         val relayed = if (acceptsRelays) registry.relayed(request) else null
+        if (relayed != null) carriesRelays = true
         if (relayed != null) return registry.relayArrived(exchange, relayed)
         registry.requestArrived(exchange, mayHaveLeft = isReadAheadPaused)
     }
 
-    private fun problemOf(request: HttpRequest): Refusal? {
-        val path = request.uri()
-        return when {
-            request.protocolVersion() != HttpVersion.HTTP_1_1 && request.protocolVersion() != HttpVersion.HTTP_1_0 ->
-                Refusal(Reason.BadRequest, "only HTTP/1.1 and HTTP/1.0 are spoken here")
-            request.headers().getAll(HttpHeaderNames.HOST).size > 1 ->
-                Refusal(Reason.BadRequest, "more than one host header")
-            !path.startsWith("/") || path.startsWith(ProtocolHeaders.RESERVED_PATH) ->
-                Refusal(Reason.NoRoute, "no route has this path")
-            HttpUtil.getContentLength(request, -1L) > limits.maxBodyBytes ->
-                Refusal(Reason.BodyTooLarge, "the body may have ${limits.maxBodyBytes} bytes at most")
-            else -> null
-        }
-    }
-
     private fun refuseWithoutNode(exchange: Exchange, refusal: Refusal) {
         isDiscardingBody = true
         registry.recordRefusal(exchange, refusal)
@@ -228,16 +302,15 @@
             return
         }
         exchange.add(content)
-        if (exchange.bodyBytes > limits.maxBodyBytes) return refuseOversizedBody(exchange)
+        if (exchange.bodyBytes > limits.maxBodyBytes) {
+            val sent = exchange.attempt != null
+            val reason = if (sent) Reason.BodyTooLargeMidway else Reason.BodyTooLarge
+            registry.abandon(exchange, AttemptOutcome.CallerGone(sent))
+            val refusal = Refusal(reason, "the body may have ${limits.maxBodyBytes} bytes at most")
+            return refuseWithoutNode(exchange, refusal)
+        }
         if (exchange.shouldPause || exchange.attempt?.isWritable == false) pauseBody(true)
-    }
-
-    private fun refuseOversizedBody(exchange: Exchange) {
-        val sent = exchange.attempt != null
-        val reason = if (sent) Reason.BodyTooLargeMidway else Reason.BodyTooLarge
-        val refusal = Refusal(reason, "the body may have ${limits.maxBodyBytes} bytes at most")
-        registry.abandon(exchange, AttemptOutcome.CallerGone(sent))
-        refuseWithoutNode(exchange, refusal)
+        account()
     }
 
     private fun refuseUnreadable(result: DecoderResult) {
@@ -265,10 +338,6 @@
         HttpUtil.setKeepAlive(response, keepAlive)
     }
 
-    private fun writeAndFlush(response: HttpResponse) {
-        context.writeAndFlush(response)
-    }
-
     private fun finish(exchange: Exchange) {
         exchange.discardReplayContent()
         exchange.attempt = null
@@ -279,21 +348,43 @@
             return
         }
         pauseBody(false)
+        account()
         val wasFull = isReadAheadFull
-        while (pipelined.isNotEmpty() && (current == null || current?.isBodyComplete == false)) {
-            val next = pipelined.removeFirst()
-            countPipelined(next, sign = -1)
-            read(next)
-        }
+        readPipelined()
         // In a task of its own, since this may be called while the decoder is at work.
         if (wasFull) context.executor().execute(::resumeReadAhead)
     }
 
+    private fun readPipelined() {
+        val channel = context.channel()
+        while (!readAhead.isEmpty && (isReceiving || (current == null && channel.isWritable))) read(readAhead.next())
+    }
+
     private fun resumeReadAhead() {
-        if (isReadAheadFull || isClosing) return
+        if (isClosing) return
+        readPipelined()
+        if (isReadAheadFull) return
         val decoder = context.pipeline().context(StrictRequestDecoder::class.java) ?: return
         (decoder.handler() as StrictRequestDecoder).resume(decoder)
     }
 
-    private fun continueResponse() = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
+    private companion object {
+        val MEMORY_FULL = Refusal(Reason.MemoryFull, "this VM has no memory left for the request")
+    }
+}
+
+/** Why [request] is refused without asking the node, or null if it is not. */
+private fun problemOf(request: HttpRequest, limits: CallerLimits): Refusal? {
+    val path = request.uri()
+    return when {
+        request.protocolVersion() != HttpVersion.HTTP_1_1 && request.protocolVersion() != HttpVersion.HTTP_1_0 ->
+            Refusal(Reason.BadRequest, "only HTTP/1.1 and HTTP/1.0 are spoken here")
+        request.headers().getAll(HttpHeaderNames.HOST).size > 1 ->
+            Refusal(Reason.BadRequest, "more than one host header")
+        !path.startsWith("/") || path.startsWith(ProtocolHeaders.RESERVED_PATH) ->
+            Refusal(Reason.NoRoute, "no route has this path")
+        HttpUtil.getContentLength(request, -1L) > limits.maxBodyBytes ->
+            Refusal(Reason.BodyTooLarge, "the body may have ${limits.maxBodyBytes} bytes at most")
+        else -> null
+    }
 }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerPort.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/CallerPort.kt
@@ -2,6 +2,8 @@
 
 import cicadagauge.gateway.CallerLimits
 import cicadagauge.gateway.RequestRegistry
+import cicadagauge.gateway.memory.ConnectionTable
+import cicadagauge.gateway.memory.MemoryAccount
 import cicadagauge.identity.Address
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.AdaptiveRecvByteBufAllocator
@@ -20,7 +22,9 @@
  * same turn of the event loop as the request before it. A VM that is short of processor time would otherwise run
  * requests whose callers left long ago.
  *
- * @param connections the open connections of all ports, which [CallerLimits.connections] bounds
+ * @param connections the open connections of all ports
+ * @param table the same connections, of which the ones that are used least make room for others
+ * @param account what the connections make this VM hold
  * @param acceptsRelays whether other VMs may relay requests to this port
  */
 internal class CallerPort(
@@ -29,6 +33,8 @@
     private val limits: CallerLimits,
     private val connections: ChannelGroup,
     private val acceptsRelays: Boolean,
+    private val table: ConnectionTable<CallerHandler> = ConnectionTable(limits.connections),
+    private val account: MemoryAccount = MemoryAccount(),
 ) {
     /** Binds [address]. */
     fun bind(address: Address): ChannelFuture =
@@ -44,12 +50,14 @@
 
     private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            if (connections.size >= limits.connections) {
+            val handler = CallerHandler(registry, limits, acceptsRelays, account, table::touch)
+            if (!table.add(handler, registry::recordEviction)) {
+                registry.recordNoRoom()
                 channel.close()
                 return
             }
+            channel.closeFuture().addListener { table.remove(handler) }
             connections.add(channel)
-            val handler = CallerHandler(registry, limits, acceptsRelays)
             channel.pipeline().addLast(
                 StrictRequestDecoder(limits, handler),
                 ResponseEncoder(),
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/caller/Exchange.kt
@@ -12,6 +12,8 @@
 import cicadagauge.identity.CustomerName
 import cicadagauge.identity.Moment
 import cicadagauge.identity.RequestId
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
@@ -23,11 +25,13 @@
     val request: HttpRequest,
     val caller: CallerHandler,
     private val limits: CallerLimits,
+    headBytes: Int = 0,
 ) {
     private val replayContent = ArrayDeque<HttpContent>()
     private val bodyHasher = BodyHasher(maxBytes = minOf(BodyHasher.MAX_HASHED_BYTES, limits.replayBufferBytes))
     private var digestListener: ((BodyDigest) -> Unit)? = null
     private var replayBytes = 0
+    private var smallPieces: HttpContent? = null
 
     /** When the request's head was read. */
     val arrivedAt: Moment = MonotonicClock.now()
@@ -41,6 +45,16 @@
     /** The attempt in progress, or null. */
     var attempt: Attempt? = null
 
+    /** Whether an attempt has been started, so that an upstream may have run the request. */
+    var wasAttempted = false
+        private set
+
+    /** The number of body bytes that are held, for this attempt or for further ones. */
+    val heldBodyBytes: Long get() = maxOf(replayBytes.toLong(), attempt?.heldBytes ?: 0L)
+
+    /** The estimated memory that the decoded head takes, in bytes. */
+    val heldHeadBytes: Long = HeadCost.of(request, headBytes)
+
     /** Whether a part of the response has been passed to the caller. */
     var hasResponseStarted = false
 
@@ -90,15 +104,33 @@
         // Only an attempt in progress takes what is not retained: between attempts, the next one needs all of it.
         if (attempt != null && replayBytes + size > limits.replayBufferBytes) discardReplayContent()
         if (isBodyRetained) {
-            replayContent.addLast(content)
-            replayBytes += size
-            attempt?.write(content.retainedDuplicate())
+            val sent = if (attempt == null) null else content.retainedDuplicate()
+            retain(content, size)
+            sent?.let { attempt?.write(it) }
         } else {
             attempt?.write(content) ?: content.release()
         }
         notifyDigestListener()
     }
 
+    /** Retains [content]. Small pieces are collected, since each would keep the whole buffer that it was read into. */
+    private fun retain(content: HttpContent, size: Int) {
+        replayBytes += size
+        if (content is LastHttpContent || size > SMALL_PIECE_BYTES) {
+            smallPieces = null
+            replayContent.addLast(content)
+            return
+        }
+        var collected = smallPieces
+        if (collected == null || collected.content().maxWritableBytes() < size) {
+            collected = DefaultHttpContent(Unpooled.buffer(size, COLLECTED_BYTES))
+            smallPieces = collected
+            replayContent.addLast(collected)
+        }
+        collected.content().writeBytes(content.content(), content.content().readerIndex(), size)
+        content.release()
+    }
+
     /**
      * Starts attempt [next] with everything that has been read so far. Returns false, and starts nothing, if a part of
      * the body is no longer retained.
@@ -106,6 +138,9 @@
     fun start(next: Attempt): Boolean {
         if (!isBodyRetained) return false
         attempt = next
+        wasAttempted = true
+        // What the attempt has been given may not grow.
+        smallPieces = null
         replayContent.forEach { next.write(it.retainedDuplicate()) }
         if (replayBytes > limits.replayBufferBytes) discardReplayContent()
         return true
@@ -117,8 +152,25 @@
     /** Releases the retained body; the request can no longer be sent again. */
     fun discardReplayContent() {
         isBodyRetained = false
+        smallPieces = null
         replayContent.forEach { it.release() }
         replayContent.clear()
         replayBytes = 0
     }
+
+    private companion object {
+        /** Pieces of a body up to this length are collected. */
+        const val SMALL_PIECE_BYTES = 512
+        const val COLLECTED_BYTES = 4_096
+    }
+}
+
+/** Estimates the memory that a decoded head takes. */
+internal object HeadCost {
+    private const val REQUEST_BYTES = 512L
+    private const val FIELD_BYTES = 200L
+
+    /** The memory of [request] in bytes, whose head arrived as [headBytes]. */
+    fun of(request: HttpRequest, headBytes: Int): Long =
+        REQUEST_BYTES + FIELD_BYTES * request.headers().size() + 2L * headBytes
 }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/ControlHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/ControlHandler.kt
@@ -22,10 +22,17 @@
         answer(answerTo(request))
     }
 
+    override fun maxBodyBytes(header: (String) -> String?): Int =
+        if (secret.matches(header(ProtocolHeaders.SECRET))) super.maxBodyBytes(header) else PUBLIC_BODY_BYTES
+
     /** Serves only the paths that need no secret; peers use the control port. */
-    fun handlePublic(request: JsonRequest, answer: (JsonResponse?) -> Unit) {
-        val isPublic = request.path in PUBLIC_PATHS
-        answer(if (isPublic) answerTo(request) else JsonResponse(NOT_FOUND))
+    val publicHandler: JsonHandler = object : JsonHandler {
+        override fun handle(request: JsonRequest, answer: (JsonResponse?) -> Unit) {
+            val isPublic = request.path in PUBLIC_PATHS
+            answer(if (isPublic) answerTo(request) else JsonResponse(NOT_FOUND))
+        }
+
+        override fun maxBodyBytes(header: (String) -> String?): Int = PUBLIC_BODY_BYTES
     }
 
     private fun answerTo(request: JsonRequest): JsonResponse = when (request.path) {
@@ -53,6 +60,9 @@
 
     private companion object {
         val PUBLIC_PATHS = setOf(ControlPaths.HEALTH, ControlPaths.READY, ControlPaths.METRICS)
+
+        /** How long the body of a request without the secret may be. */
+        const val PUBLIC_BODY_BYTES = 4_096
         const val OK = 200
         const val NO_CONTENT = 204
         const val BAD_REQUEST = 400
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
@@ -1,6 +1,8 @@
 package cicadagauge.gateway.metrics
 
 import cicadagauge.declaration.RequestClass
+import cicadagauge.gateway.memory.HeldKind
+import cicadagauge.gateway.memory.MemoryAccount
 import cicadagauge.identity.CustomerName
 import cicadagauge.identity.PoolName
 import cicadagauge.node.StateChange
@@ -16,7 +18,7 @@
 import kotlin.time.DurationUnit
 
 /** Metrics of one gateway. Request durations are recorded per customer and class. */
-internal class GatewayMetrics(pendingRequests: () -> Int) {
+internal class GatewayMetrics(account: MemoryAccount = MemoryAccount(), pendingRequests: () -> Int) {
     private val registry = PrometheusRegistry()
     private val durations = HashMap<Pair<CustomerName?, RequestClass>, DistributionDataPoint>()
 
@@ -35,12 +37,23 @@
         .help("Connections closed because bytes arrived on them that no request had asked for").register(registry)
     private val readAheadPauses = Counter.builder().name("cicadagauge_read_ahead_pauses_total")
         .help("Pauses of reading from callers who send far ahead of the answers").register(registry)
+    private val closed = Counter.builder().name("cicadagauge_closed_connections_total")
+        .help("Callers' connections closed or refused to save memory or descriptors").labelNames("cause")
+        .register(registry)
     private val changes = Counter.builder().name("cicadagauge_state_changes_total")
         .help("Changes of state, by kind").labelNames("kind").register(registry)
 
     init {
         GaugeWithCallback.builder().name("cicadagauge_pending_requests").help("Requests accepted and not yet answered")
             .callback { it.call(pendingRequests().toDouble()) }.register(registry)
+        GaugeWithCallback.builder().name("cicadagauge_held_bytes").help("Estimated bytes that callers make the VM hold")
+            .labelNames("kind")
+            .callback { gauge ->
+                HeldKind.entries.forEach { gauge.call(account.heldFor(it).toDouble(), it.name.lowercase()) }
+            }.register(registry)
+        GaugeWithCallback.builder().name("cicadagauge_memory_paused_connections")
+            .help("Connections whose reading is paused to save memory")
+            .callback { it.call(account.pausedCount.toDouble()) }.register(registry)
     }
 
     /** Counts a complete response of an upstream. */
@@ -68,6 +81,11 @@
         unsolicited.inc()
     }
 
+    /** Counts a caller's connection that was closed or refused for [cause]. */
+    fun countClosed(cause: String) {
+        closed.labelValues(cause).inc()
+    }
+
     /** Counts a pause of reading from a caller who sends far ahead of the answers. */
     fun countReadAheadPause() {
         readAheadPauses.inc()
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/Attempt.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/Attempt.kt
@@ -11,6 +11,9 @@
     /** Whether the upstream's connection accepts more data at present. */
     val isWritable: Boolean
 
+    /** The number of body bytes that the attempt holds, until the upstream has taken them. */
+    val heldBytes: Long
+
     /** Pauses or resumes reading the response, according to how fast the caller reads. */
     fun pauseResponse(pause: Boolean)
 
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
@@ -19,6 +19,7 @@
     private val onEnded: (AttemptOutcome) -> Unit,
 ) : Attempt {
     private val pendingContent = ArrayDeque<HttpContent>()
+    private var pendingBytes = 0L
     private var channel: Channel? = null
     private var hasEnded = false
     private val timeout: ScheduledFuture<*>
@@ -32,7 +33,10 @@
     var isRequestSent = false
         private set
 
-    override val isWritable: Boolean get() = channel?.isWritable ?: true
+    override val isWritable: Boolean get() = channel?.isWritable ?: (pendingBytes < MAX_PENDING_BYTES)
+
+    override val heldBytes: Long
+        get() = channel?.unsafe()?.outboundBuffer()?.totalPendingWriteBytes() ?: pendingBytes
 
     /**
      * Sends the request over [connection] and returns true, unless the attempt ended or its deadline passed during the
@@ -54,7 +58,10 @@
         val connection = channel
         when {
             hasEnded -> content.release()
-            connection == null -> pendingContent.addLast(content)
+            connection == null -> {
+                pendingBytes += content.content().readableBytes() + PIECE_BYTES
+                pendingContent.addLast(content)
+            }
             else -> {
                 writeContent(connection, content)
                 connection.flush()
@@ -99,4 +106,12 @@
             },
         )
     }
+
+    private companion object {
+        /** How much of a body is taken before the connection is established, in bytes. */
+        const val MAX_PENDING_BYTES = 65_536L
+
+        /** The memory that a piece of a body takes besides its bytes. */
+        const val PIECE_BYTES = 96
+    }
 }
--- a/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/deployment/UntimedSettings.kt
+++ b/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/deployment/UntimedSettings.kt
@@ -38,7 +38,11 @@
                     homePingTimeout = TIMEOUT,
                 ),
             ),
-            limits = settings.limits.copy(idleTimeout = TIMEOUT),
+            limits = settings.limits.copy(
+                idleTimeout = TIMEOUT,
+                headTimeout = TIMEOUT,
+                requestProgress = TIMEOUT,
+            ),
             upstreams = settings.upstreams.copy(
                 connectTimeout = TIMEOUT,
                 idleTimeout = TIMEOUT,
