RangeHeat: an upstream without a reported time counts as one of average speed

It counted as one of 50 ms, so the newcomers of a slow pool looked the fastest and were given the most. Tests for that, for a moment in which an upstream is slow, and for a move that takes the hot stretch only.

--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeHeat.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/RangeHeat.kt
@@ -25,6 +25,7 @@
     private val seconds = settings.heatTimeConstant.toDouble(DurationUnit.SECONDS)
     private var decayedAt = start
     private var areSumsCurrent = false
+    private var meanServiceTime = DEFAULT_SERVICE_TIME
 
     /** Adds the requests that a VM has counted since its last report, and the service times that it has seen. */
     fun add(buckets: List<HeatBucket>, times: List<UpstreamTime>, now: Moment) {
@@ -34,6 +35,7 @@
             val before = serviceTimes[time.upstream]
             serviceTimes[time.upstream] = before?.averagedWith(time.usual, now) ?: ServiceTime(time.usual, now)
         }
+        if (times.isNotEmpty()) meanServiceTime = mean()
         areSumsCurrent = false
     }
 
@@ -53,8 +55,11 @@
      */
     fun uncertaintyOf(rate: Double): Double = sqrt(rate / (2 * seconds))
 
-    /** The usual time that [upstream] takes for one request. */
-    fun serviceTimeOf(upstream: UpstreamId): Duration = serviceTimes[upstream]?.average ?: DEFAULT_SERVICE_TIME
+    /** The usual time that [upstream] takes for one request; if none has been reported, the mean of the others. */
+    fun serviceTimeOf(upstream: UpstreamId): Duration = serviceTimes[upstream]?.average ?: meanServiceTime
+
+    private fun mean(): Duration =
+        serviceTimes.values.fold(Duration.ZERO) { sum, time -> sum + time.average } / serviceTimes.size
 
     /** The part of [range] of the fewest buckets that has [rate] requests per second, or null if it has fewer. */
     fun densestPart(range: SlotRange, rate: Double): SlotRange? {
@@ -104,7 +109,7 @@
     }
 
     private companion object {
-        /** The service time of an upstream for which none has been reported. */
+        /** The service time of all upstreams while none has been reported. */
         val DEFAULT_SERVICE_TIME: Duration = 50.milliseconds
 
         /** Requests per second that are spread evenly over all slots of the pool, besides those counted. */
--- a/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangePlannerTest.kt
+++ b/cicadagauge-core/src/test/kotlin/cicadagauge/ownership/RangePlannerTest.kt
@@ -11,6 +11,7 @@
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val SLOTS = 65_536
@@ -82,6 +83,34 @@
             next.count { it.owner == UpstreamId("u14") } shouldBe 1
         }
 
+        test("an upstream that has reported no service time counts as one of average speed") {
+            val heat = RangeHeat(SLOTS, Moment.ZERO)
+            val times = listOf(100, 300).mapIndexed { n, ms -> UpstreamTime(UpstreamId("u$n"), ms.milliseconds) }
+            heat.add(emptyList(), times, Moment.ZERO)
+            heat.serviceTimeOf(UpstreamId("u2")) shouldBe 200.milliseconds
+        }
+
+        test("a moment in which an upstream is slow counts little") {
+            val heat = RangeHeat(SLOTS, Moment.ZERO)
+            val id = UpstreamId("u0")
+            heat.add(emptyList(), listOf(UpstreamTime(id, 100.milliseconds)), Moment.ZERO)
+            heat.add(emptyList(), listOf(UpstreamTime(id, 300.milliseconds)), Moment.ZERO + 500.milliseconds)
+            (heat.serviceTimeOf(id) < 140.milliseconds) shouldBe true
+        }
+
+        test("only the hot stretch of a range moves, and its cold keys stay") {
+            val heat = heatOf((20_000 until 20_200 step 8).associateWith { 3 })
+            val planner = RangePlanner(SLOTS, heat)
+            val ranges = planner.plan(emptyList(), upstreams)
+            val next = planner.plan(ranges, upstreams)
+            val moved = next.filter { part ->
+                ranges.none { it.owner == part.owner && part.slots.first in it.slots.first..it.slots.last }
+            }
+            covers(next) shouldBe true
+            moved.sumOf { it.slots.size } shouldBeLessThan 200
+            (planner.expectedSaving > Duration.ZERO) shouldBe true
+        }
+
         for (seed in 1..20) {
             test("every slot has one usable owner while upstreams are added and removed at random, seed $seed") {
                 val random = Random(seed)
