Requests without a key skip zones whose homes have just said that they are full

Cause: each request tried its zone's home, then all others, though the last refusals had told their waits. Change: a VM keeps the last waits that refusals told, for 200 ms at most and ageing twice as fast as time; skips these zones, and if all are full goes to one at once. Log line zones-skipped. Switch: DispatchSettings.zoneNewsMaxAge = 0.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -38,6 +38,17 @@
     public data class LoadBalanced(val pool: PoolName, val version: RecordVersion, val expectedSaving: Duration) :
         StateChange
 
+    /**
+     * A request for [pool] went to [zone] first, or waits there, because home VMs had told the [expectedWaits] in other
+     * zones; the oldest of this news had [newsAge].
+     */
+    public data class ZonesSkipped(
+        val pool: PoolName,
+        val zone: AvailabilityZone?,
+        val expectedWaits: Map<AvailabilityZone, Duration>,
+        val newsAge: Duration,
+    ) : StateChange
+
     /** [upstream] has seen a higher fence than [fence], which this VM sent as the allocator of [pool]. */
     public data class FenceRefused(val pool: PoolName, val upstream: UpstreamId, val fence: RecordVersion) : StateChange
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -23,6 +23,7 @@
 import cicadagauge.node.HomePolicy
 import cicadagauge.node.RelayedRequest
 import cicadagauge.node.RequestHead
+import cicadagauge.node.StateChange
 import cicadagauge.node.Timers
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.NotRunCause
@@ -56,6 +57,7 @@
     private val retryBudgets = RetryBudgets(settings) { vms.all.size }
     private val permitReporter = PermitReporter(vms, settings)
     private val homeMonitor = HomeMonitor(vms, settings)
+    private val zoneNews = ZoneNews(settings)
 
     /** Determines the home VM of each request. */
     val homeDirectory: HomeDirectory = HomeDirectory(vms, owners, settings)
@@ -98,6 +100,7 @@
     fun accept(request: PendingRequest, now: Moment) {
         if (!request.isRelayedHere) retryBudgetOf(request).recordAdmitted()
         requests[request.id] = request
+        zoneNews.advise(request, now)?.let { report(request, it) }
         val needsBody = quarantine.needsBody(request.customer, request.head) ||
             crashDetector.isChecking(request.customer, request.head)
         if (!needsBody) return reserve(request, now)
@@ -105,6 +108,16 @@
         effects.add(Effect.AwaitBody(request.id))
     }
 
+    private fun report(request: PendingRequest, advice: ZoneAdvice) {
+        val change = StateChange.ZonesSkipped(
+            pool = request.pool.name,
+            zone = advice.zone,
+            expectedWaits = advice.waits,
+            newsAge = advice.oldest,
+        )
+        effects.add(Effect.StateChanged(change))
+    }
+
     /** Continues request [id], whose body was awaited and has the digest [body]. */
     fun bodyRead(id: RequestId, body: BodyDigest, now: Moment) {
         val request = requests[id]?.takeIf { it.state == PendingRequest.State.AwaitingBody } ?: return
@@ -235,6 +248,7 @@
         }
         val wasRejected = refusal.reason == Reason.UpstreamBusy
         if (wasRejected) request.hasReachedUpstream = true
+        if (refusal.reason == Reason.Overloaded) refusal.retryAfter?.let { zoneNews.refused(request, it, now) }
         val isFull = wasRejected || refusal.reason == Reason.Overloaded || refusal.reason == Reason.NoUpstream
         val mayTryNext = isFull &&
             request.isBodyRetained &&
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/ZoneSelector.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/ZoneSelector.kt
@@ -8,7 +8,11 @@
  * the request without a long wait; if none does, the request waits in the zone with the shortest expected wait. With
  * [isFinal] the request stays in the first zone.
  */
-internal class ZoneSelector(private val zones: List<AvailabilityZone>, private val isFinal: Boolean = false) {
+internal class ZoneSelector(zones: List<AvailabilityZone>, private val isFinal: Boolean = false) {
+    /** The zones to try, in this order. */
+    var zones: List<AvailabilityZone> = zones
+        private set
+
     private var currentIndex = 0
     private var shortestWaitZone: AvailabilityZone? = null
     private var shortestWait = Duration.INFINITE
@@ -18,7 +22,18 @@
         private set
 
     /** Whether the request should try another zone rather than wait in this one. */
-    val maySpill: Boolean get() = !isFinal && currentIndex < zones.size && zones.size > 1
+    val maySpill: Boolean get() = !isFinal && currentIndex < zones.size && (zones.size > 1 || shortestWaitZone != null)
+
+    /**
+     * Doesn't try the zones [leftOut], where the request would wait for long. If none of the others serves it without a
+     * long wait either, it may still wait in [leastWaitZone], one of those left out, with the expected [wait].
+     */
+    fun leaveOut(leftOut: Set<AvailabilityZone>, leastWaitZone: AvailabilityZone, wait: Duration) {
+        zones = zones - leftOut
+        shortestWaitZone = leastWaitZone
+        shortestWait = wait
+        zone = zones.firstOrNull() ?: leastWaitZone
+    }
 
     /**
      * Moves on to the next zone, because the expected wait in the current one is [wait]. After the last zone, moves
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/node/NodeSettings.kt
@@ -216,6 +216,9 @@
  * @property stallTimeout How long an upstream that runs requests may answer none before it counts as stalled. Slow
  * upstreams are allowed longer.
  * @property spillWait Expected wait above which a request without a key tries another availability zone.
+ * @property zoneNewsMaxAge How long a request skips an availability zone whose home VM has refused another one for
+ * lack of capacity; shorter if the work that waits there is less. With zero, each request tries the zones in turn.
+ * @property crossingWait How much sooner another zone must be for a request to wait there and not in this VM's zone.
  * @property heatReportInterval Interval at which home VMs report load to the allocators.
  * @property homeTrackingTime How long this VM goes on reporting to a home VM after it last used one of its permits, and
  * watching it after it last relayed a request to it.
@@ -244,6 +247,8 @@
     val takenOutServiceTime: Duration = 4.seconds,
     val stallTimeout: Duration = 400.milliseconds,
     val spillWait: Duration = 40.milliseconds,
+    val zoneNewsMaxAge: Duration = 200.milliseconds,
+    val crossingWait: Duration = 20.milliseconds,
     val heatReportInterval: Duration = 500.milliseconds,
     val homeTrackingTime: Duration = 5.seconds,
     val homeAnswerTimeout: Duration = 40.milliseconds,
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -28,6 +28,21 @@
         LOG.info(message)
     }
 
+    private fun writeMoves(change: StateChange.LoadBalanced) = write(
+        "load-balanced",
+        "pool" to change.pool,
+        "version" to change.version,
+        "expectedSavingMillis" to change.expectedSaving.inWholeMilliseconds,
+    )
+
+    private fun writeZones(change: StateChange.ZonesSkipped) = write(
+        "zones-skipped",
+        "pool" to change.pool,
+        "zone" to change.zone,
+        "expectedWaits" to change.expectedWaits,
+        "newsAgeMillis" to change.newsAge.inWholeMilliseconds,
+    )
+
     /** Writes the event for [change]. */
     fun write(change: StateChange): Unit = when (change) {
         is StateChange.DeclarationInForce -> write("declaration-in-force", "version" to change.version)
@@ -37,12 +52,8 @@
         is StateChange.DutyLost -> write("duty-lost", "pool" to change.pool, "term" to change.term)
         is StateChange.OwnersChanged ->
             write("owners-changed", "pool" to change.pool, "version" to change.version, "moved" to change.moved)
-        is StateChange.LoadBalanced -> write(
-            "load-balanced",
-            "pool" to change.pool,
-            "version" to change.version,
-            "expectedSavingMillis" to change.expectedSaving.inWholeMilliseconds,
-        )
+        is StateChange.LoadBalanced -> writeMoves(change)
+        is StateChange.ZonesSkipped -> writeZones(change)
         is StateChange.FenceRefused ->
             write("fence-refused", "pool" to change.pool, "upstream" to change.upstream, "fence" to change.fence)
         is StateChange.OwnerSuspected -> write(
