--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -28,21 +28,6 @@
         LOG.info(message)
     }
 
-    private fun writeMoves(change: StateChange.LoadBalanced) = write(
-        "load-balanced",
-        "pool" to change.pool,
-        "version" to change.version,
-        "expectedSavingMillis" to change.expectedSaving.inWholeMilliseconds,
-    )
-
-    private fun writeZones(change: StateChange.ZonesSkipped) = write(
-        "zones-skipped",
-        "pool" to change.pool,
-        "zone" to change.zone,
-        "expectedWaits" to change.expectedWaits,
-        "newsAgeMillis" to change.newsAge.inWholeMilliseconds,
-    )
-
     /** Writes the event for [change]. */
     fun write(change: StateChange): Unit = when (change) {
         is StateChange.DeclarationInForce -> write("declaration-in-force", "version" to change.version)
@@ -81,20 +66,39 @@
         is StateChange.Suspended -> write("suspended", "unseen" to change.unseen)
         is StateChange.UpstreamsReached -> write("upstreams-reached", "reached" to change.reached)
         is StateChange.StoreReachable -> write("store-reachable", "reachable" to change.reachable)
-        is StateChange.StoreReading -> write(
-            "store-reading",
-            "reading" to change.isReading,
-            "newsAgeMillis" to change.newsAge.inWholeMilliseconds,
-        )
-        is StateChange.StoreEraChanged -> write(
-            "store-era",
-            "old" to change.previous,
-            "new" to change.era,
-            "writtenAgain" to change.writtenAgain.joinToString(),
-        )
+        is StateChange.StoreReading -> writeReading(change)
+        is StateChange.StoreEraChanged -> writeEra(change)
         is StateChange.WatchEnded -> writeWatchEnd(change)
     }
 
+    private fun writeMoves(change: StateChange.LoadBalanced) = write(
+        "load-balanced",
+        "pool" to change.pool,
+        "version" to change.version,
+        "expectedSavingMillis" to change.expectedSaving.inWholeMilliseconds,
+    )
+
+    private fun writeZones(change: StateChange.ZonesSkipped) = write(
+        "zones-skipped",
+        "pool" to change.pool,
+        "zone" to change.zone,
+        "expectedWaits" to change.expectedWaits,
+        "newsAgeMillis" to change.newsAge.inWholeMilliseconds,
+    )
+
+    private fun writeReading(change: StateChange.StoreReading) = write(
+        "store-reading",
+        "reading" to change.isReading,
+        "newsAgeMillis" to change.newsAge.inWholeMilliseconds,
+    )
+
+    private fun writeEra(change: StateChange.StoreEraChanged) = write(
+        "store-era",
+        "old" to change.previous,
+        "new" to change.era,
+        "writtenAgain" to change.writtenAgain.joinToString(),
+    )
+
     /** A watch that the store has answered is the normal case, which the counter of state changes shows. */
     private fun writeWatchEnd(change: StateChange.WatchEnded) {
         if (change.result is WatchResult.Reported) return
