--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -100,6 +100,40 @@
         }
     }
 
+    /**
+     * Whether the connection to the store from local [port] belongs to the process of [vm]. All VMs connect from the
+     * same loopback address, so that the process is looked up by its descriptors.
+     */
+    boolean isConnectionOf(Vm vm, int port) {
+        String local = String.format(":%04X", port);
+        String remote = String.format(":%04X", store.port);
+        try {
+            for (String table : new String[] {"/proc/net/tcp", "/proc/net/tcp6"}) {
+                if (!Files.exists(Path.of(table))) continue;
+                for (String line : Files.readAllLines(Path.of(table))) {
+                    String[] fields = line.trim().split("\\s+");
+                    if (!fields[1].endsWith(local) || !fields[2].endsWith(remote)) continue;
+                    if (hasSocket(vm, fields[9])) return true;
+                }
+            }
+        } catch (IOException e) {
+            log.line("can't look up port %d: %s", port, e);
+        }
+        return false;
+    }
+
+    private static boolean hasSocket(Vm vm, String inode) throws IOException {
+        String wanted = "socket:[" + inode + "]";
+        try (var descriptors = Files.list(Path.of("/proc/" + vm.process.pid() + "/fd"))) {
+            for (Path descriptor : (Iterable<Path>) descriptors::iterator) {
+                if (Files.isSymbolicLink(descriptor) && Files.readSymbolicLink(descriptor).toString().equals(wanted)) return true;
+            }
+        } catch (java.nio.file.NoSuchFileException e) {
+            return false;
+        }
+        return false;
+    }
+
     /** Ends every process that was started. */
     void kill() {
         for (Vm vm : vms) if (vm.process != null) vm.process.destroyForcibly();
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -130,17 +130,17 @@
                 Http request = Http.read(in);
                 if (request == null) return;
                 request.readBody(in, false);
-                Predicate<Integer> away = turnedAway;
-                Reply reply;
-                if (away != null && away.test(socket.getPort())) {
+                boolean isAway = isTurnedAway(socket);
+                Reply reply = isAway ? null : handle(request);
+                // A watch that was waiting when its machine was turned away is cut.
+                if (!isAway && request.path().startsWith("/api/kv-watch") && isTurnedAway(socket)) return;
+                if (isAway) {
                     String what = request.first.split("\\?")[0] + " " + new String(request.body, StandardCharsets.UTF_8);
                     synchronized (refused) {
                         refused.add(what);
                     }
                     log.line("store: turned away: %s", what.length() > 160 ? what.substring(0, 160) : what);
                     reply = new Reply(503, "{}");
-                } else {
-                    reply = handle(request);
                 }
                 byte[] body = reply.body.getBytes(StandardCharsets.UTF_8);
                 String head = "HTTP/1.1 " + reply.status + " -\r\nContent-Type: application/json\r\nContent-Length: "
@@ -154,6 +154,11 @@
         }
     }
 
+    private boolean isTurnedAway(Socket socket) {
+        Predicate<Integer> away = turnedAway;
+        return away != null && away.test(socket.getPort());
+    }
+
     private Reply handle(Http request) throws InterruptedException {
         String target = request.path();
         int mark = target.indexOf('?');
