Upstreams: an answer that doesn't end is cut off 0.4 s after the deadline

Cause: once a response had begun, the deadline only shortened the check for silence to 250 ms, which an upstream that sends more often never meets. Ruled out: that the route's time-out isn't in the attempt's deadline. A stalled response was cut off by it, over real sockets too, while a trickling one was open 20 s later.

Change: ResponseProgress decides how long a response may last: 0.4 s from the deadline on, without time in which the caller doesn't read, of which 10 s are excluded at most. It works for each framing and for relays, since all of them pass there. Truncated names its cause, in the log and as a label of cicadagauge_broken_answers_total.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/AttemptOutcome.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/outcome/AttemptOutcome.kt
@@ -20,7 +20,7 @@
     public data class Lost(val timedOut: Boolean) : AttemptOutcome
 
     /** The answer ended early, after a part of it had been sent to the caller. The caller's connection was closed. */
-    public data object Truncated : AttemptOutcome
+    public data class Truncated(val cause: TruncationCause) : AttemptOutcome
 
     /** The caller disconnected. [sent] is whether the request had been written to the upstream's connection. */
     public data class CallerGone(val sent: Boolean) : AttemptOutcome
@@ -43,3 +43,15 @@
     /** A part of the request's body is no longer retained, so nothing was sent. */
     BodyReleased,
 }
+
+/** Why an answer ended early. */
+public enum class TruncationCause {
+    /** The upstream closed or reset the connection, or sent what can't be read. */
+    ConnectionBroken,
+
+    /** The upstream sent nothing for too long. */
+    Stalled,
+
+    /** The upstream went on sending for too long after the deadline. */
+    Overdue,
+}
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/Dispatcher.kt
@@ -170,7 +170,7 @@
                 vms.recordContact(state.home, now)
                 requests -= request.id
             }
-            AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
+            is AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
             is AttemptOutcome.Refused -> {
                 vms.recordContact(state.home, now)
                 if (outcome.refusal.reason == Reason.CutOff) vms.markCutOff(state.home, now + settings.homeSuspicion)
@@ -202,7 +202,7 @@
                 request.fingerprint?.let { quarantine.answered(it, now) }
                 requests -= request.id
             }
-            AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
+            is AttemptOutcome.Truncated, is AttemptOutcome.CallerGone -> requests -= request.id
             is AttemptOutcome.Refused -> refuse(request, outcome.refusal, now)
             is AttemptOutcome.NotRun -> notRun(request, outcome, now)
             is AttemptOutcome.Lost -> {
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PermitResults.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/dispatch/PermitResults.kt
@@ -9,7 +9,7 @@
     /** The result of an attempt that ended with [outcome]. */
     fun of(outcome: AttemptOutcome): PermitResult = when (outcome) {
         is AttemptOutcome.Answered -> PermitResult.Served
-        AttemptOutcome.Truncated, is AttemptOutcome.Lost -> PermitResult.Broken
+        is AttemptOutcome.Truncated, is AttemptOutcome.Lost -> PermitResult.Broken
         is AttemptOutcome.CallerGone, is AttemptOutcome.Refused -> PermitResult.Unused
         is AttemptOutcome.NotRun -> when (outcome.cause) {
             NotRunCause.Unreachable -> PermitResult.Unreachable
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamReachability.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/membership/UpstreamReachability.kt
@@ -79,7 +79,7 @@
     fun attemptEnded(upstream: UpstreamId, since: Moment, outcome: AttemptOutcome, now: Moment) {
         val isUnreachable = outcome is AttemptOutcome.NotRun && outcome.cause == NotRunCause.Unreachable
         val isAnswer = when (outcome) {
-            is AttemptOutcome.Answered, AttemptOutcome.Truncated -> true
+            is AttemptOutcome.Answered, is AttemptOutcome.Truncated -> true
             is AttemptOutcome.NotRun -> !isUnreachable
             is AttemptOutcome.Refused, is AttemptOutcome.Lost, is AttemptOutcome.CallerGone -> false
         }
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/GatewaySettings.kt
@@ -134,12 +134,15 @@
  * @property responseProgress how long a response that has begun may make no progress before its connection is closed;
  * a pause because the caller reads slowly counts as well
  * @property overdueProgress the same after the request's deadline, without pauses because the caller reads slowly
+ * @property overdueResponse how long after the request's deadline a response may last that makes progress, without
+ * pauses because the caller reads slowly; of these, [responseProgress] in all are excluded
  */
 public data class UpstreamLimits(
     val connectTimeout: Duration = 300.milliseconds,
     val idleTimeout: Duration = 30.seconds,
     val responseProgress: Duration = 10.seconds,
     val overdueProgress: Duration = 250.milliseconds,
+    val overdueResponse: Duration = 400.milliseconds,
 ) {
     public companion object {
         /** For upstreams that close connections after 10 s without traffic: this side closes them well before. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/RequestRegistry.kt
@@ -228,9 +228,9 @@
                 recordDuration(exchange)
                 exchange.caller.end(exchange)
             }
-            AttemptOutcome.Truncated -> {
+            is AttemptOutcome.Truncated -> {
                 exchanges -= exchange.id
-                metrics.countTruncated()
+                metrics.countTruncated(outcome.cause)
                 exchange.caller.abort(exchange)
             }
             else -> Unit
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/metrics/GatewayMetrics.kt
@@ -7,6 +7,7 @@
 import cicadagauge.identity.PoolName
 import cicadagauge.node.StateChange
 import cicadagauge.outcome.Reason
+import cicadagauge.outcome.TruncationCause
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
@@ -30,7 +31,7 @@
     private val refusals = Counter.builder().name("cicadagauge_refusals_total")
         .help("Requests refused").labelNames("reason", "verdict").register(registry)
     private val broken = Counter.builder().name("cicadagauge_broken_answers_total")
-        .help("Answers that broke off after a part had gone to the caller").register(registry)
+        .help("Answers that broke off after a part had gone to the caller").labelNames("cause").register(registry)
     private val repeats = Counter.builder().name("cicadagauge_repeats_total")
         .help("Attempts after one that has reached an upstream").labelNames("pool").register(registry)
     private val unsolicited = Counter.builder().name("cicadagauge_unsolicited_closes_total")
@@ -71,9 +72,9 @@
         repeats.labelValues(pool.value).inc()
     }
 
-    /** Counts a response that was cut short after a part of it had been passed to the caller. */
-    fun countTruncated() {
-        broken.inc()
+    /** Counts a response that was cut short for [cause] after a part of it had been passed to the caller. */
+    fun countTruncated(cause: TruncationCause) {
+        broken.labelValues(cause.name.lowercase()).inc()
     }
 
     /** Counts a connection that was closed because bytes arrived on it that no request had asked for. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamAttempt.kt
@@ -70,7 +70,7 @@
     }
 
     override fun pauseResponse(pause: Boolean) {
-        channel?.config()?.isAutoRead = !pause
+        channel?.upstreamHandler()?.pauseReading(pause)
     }
 
     override fun cancel(): Unit = end(AttemptOutcome.CallerGone(sent = channel != null))
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -9,6 +9,7 @@
 import cicadagauge.outcome.AttemptOutcome
 import cicadagauge.outcome.Reason
 import cicadagauge.outcome.Refusal
+import cicadagauge.outcome.TruncationCause
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -27,7 +28,6 @@
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.nanoseconds
 
 /**
  * Reads the responses on one upstream connection and passes them to the attempt that uses it. A response ends its
@@ -57,10 +57,12 @@
     /** The drain of a rejection whose attempt has ended, or null. */
     private var drain: RejectionDrain? = null
     private var progressCheck: ScheduledFuture<*>? = null
-    private var lastReadNanos = 0L
 
-    /** Whether the deadline of the request has passed, while its response was being read. */
-    private var isOverdue = false
+    /** The progress of the response that is being forwarded, or null before its head. */
+    private var progress: ResponseProgress? = null
+
+    /** Why this side has closed the connection during a response, if it has. */
+    private var truncation = TruncationCause.ConnectionBroken
 
     /** Whether the response that is being read has a length or chunks, or no body. */
     private var isFramed = false
@@ -91,18 +93,25 @@
         heads.expectNext()
         status = null
         isComplete = false
-        isOverdue = false
+        progress = null
         rejection = null
     }
 
     /**
-     * Handles the deadline of a request whose response has begun: it is passed on as long as more of it arrives, but
-     * cut off when the upstream stalls.
+     * Handles the deadline of a request whose response has begun: it is passed on for a short time, but cut off when
+     * the upstream stalls or doesn't end it.
      */
     fun deadlinePassed() {
-        isOverdue = true
+        val response = progress ?: return
+        response.recordDeadline()
         progressCheck?.cancel(false)
-        scheduleProgressCheck(context)
+        scheduleProgressCheck(response)
+    }
+
+    /** Pauses or resumes reading the response. */
+    fun pauseReading(pause: Boolean) {
+        context.channel().config().isAutoRead = !pause
+        progress?.recordPause(pause)
     }
 
     /** Detaches the attempt, which has ended, and closes the connection unless it [canBeReused] after its response. */
@@ -146,7 +155,7 @@
             ReferenceCountUtil.release(message)
             return drain(message)
         }
-        lastReadNanos = context.executor().ticker().nanoTime()
+        progress?.recordRead()
         if (message.decoderResult().isFailure) {
             ReferenceCountUtil.release(message)
             return failAttempt(running)
@@ -200,8 +209,10 @@
         val forwarded = DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status())
         UpstreamRequest.copyResponseHeaders(response.headers(), forwarded.headers())
         if (!isFramed) HttpUtil.setTransferEncodingChunked(forwarded, true)
+        val response = ResponseProgress(limits, context.executor().ticker())
+        progress = response
         running.exchange.caller.begin(running.exchange, forwarded)
-        scheduleProgressCheck(context)
+        scheduleProgressCheck(response)
     }
 
     private fun readContent(running: UpstreamAttempt, content: HttpContent) {
@@ -236,7 +247,7 @@
         isClosing = true
         running.end(
             rejection ?: if (running.exchange.hasResponseStarted) {
-                AttemptOutcome.Truncated
+                AttemptOutcome.Truncated(truncation)
             } else {
                 AttemptOutcome.Lost(timedOut = false)
             },
@@ -286,22 +297,17 @@
         return bodiless || HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
     }
 
-    /**
-     * Closes the connection when nothing more of a response is read for [UpstreamLimits.responseProgress], also while
-     * reading is paused because the caller reads slowly; after the request's deadline when the upstream has sent
-     * nothing for [UpstreamLimits.overdueProgress].
-     */
-    private fun scheduleProgressCheck(context: ChannelHandlerContext) {
-        val interval = if (isOverdue) limits.overdueProgress else limits.responseProgress
-        progressCheck = context.executor().schedule({
-            if (attempt != null) if (isStalled()) close() else scheduleProgressCheck(context)
-        }, interval.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+    /** Closes the connection when [response] is to be given up. */
+    private fun scheduleProgressCheck(response: ResponseProgress) {
+        val delay = response.nextCheck().inWholeNanoseconds
+        progressCheck = context.executor().schedule({ checkProgress(response) }, delay, TimeUnit.NANOSECONDS)
     }
 
-    private fun isStalled(): Boolean {
-        val silence = (context.executor().ticker().nanoTime() - lastReadNanos).nanoseconds
-        val isReading = context.channel().config().isAutoRead
-        return silence >= limits.responseProgress || (isOverdue && isReading && silence >= limits.overdueProgress)
+    private fun checkProgress(response: ResponseProgress) {
+        if (attempt == null || response !== progress) return
+        val cause = response.truncation() ?: return scheduleProgressCheck(response)
+        truncation = cause
+        close()
     }
 
     private companion object {
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/UnframedResponseTest.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/UnframedResponseTest.kt
@@ -5,6 +5,7 @@
 import cicadagauge.gateway.environment.DefaultDialect
 import cicadagauge.gateway.environment.Dialect
 import cicadagauge.outcome.AttemptOutcome
+import cicadagauge.outcome.TruncationCause
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
@@ -17,7 +18,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A dialect whose upstreams may answer without a length. */
-private object UnframedDialect : Dialect by DefaultDialect {
+internal object UnframedDialect : Dialect by DefaultDialect {
     override val allowsCloseDelimitedBody = true
 }
 
@@ -46,12 +47,16 @@
         }
 
         // Guards against answers that were cut off and look complete to their callers (review case 4).
-        val otherEnds = mapOf<String, (EmbeddedChannel) -> Unit>(
-            "a write finds the connection reset" to { it.close() },
-            "a read finds the connection reset" to { it.pipeline().fireExceptionCaught(IOException("reset")) },
-            "the response makes no progress for too long" to { it.pass(UpstreamLimits().responseProgress + 1.seconds) },
+        val otherEnds = listOf<Triple<String, TruncationCause, (EmbeddedChannel) -> Unit>>(
+            Triple("a write finds the connection reset", TruncationCause.ConnectionBroken) { it.close() },
+            Triple("a read finds the connection reset", TruncationCause.ConnectionBroken) {
+                it.pipeline().fireExceptionCaught(IOException("reset"))
+            },
+            Triple("the response makes no progress for too long", TruncationCause.Stalled) {
+                it.pass(UpstreamLimits().responseProgress + 1.seconds)
+            },
         )
-        for ((title, end) in otherEnds) {
+        for ((title, cause, end) in otherEnds) {
             test("a response without a length is cut off when $title") {
                 val gateway = EmbeddedGateway(UnframedDialect)
                 gateway.receive(REQUEST)
@@ -59,7 +64,7 @@
                 gateway.connections[0].read(UNFRAMED_HEAD + "ha")
                 end(gateway.connections[0])
                 gateway.connections[0].runPendingTasks()
-                gateway.ended.map { it.outcome } shouldContainExactly listOf(AttemptOutcome.Truncated)
+                gateway.ended.map { it.outcome } shouldContainExactly listOf(AttemptOutcome.Truncated(cause))
                 gateway.answered() shouldNotContain LAST_CHUNK
                 gateway.isConnected shouldBe false
             }
@@ -72,7 +77,8 @@
                 gateway.forward()
                 gateway.connections[0].read("HTTP/1.1 200 OK\r\n$head\r\n\r\n2\r\nha\r\n")
                 gateway.connections[0].endData()
-                gateway.ended.map { it.outcome } shouldContainExactly listOf(AttemptOutcome.Truncated)
+                gateway.ended.map { it.outcome } shouldContainExactly
+                    listOf(AttemptOutcome.Truncated(TruncationCause.ConnectionBroken))
             }
         }
 
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/UnsolicitedBytesTest.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/UnsolicitedBytesTest.kt
@@ -1,6 +1,7 @@
 package cicadagauge.gateway.upstream
 
 import cicadagauge.outcome.AttemptOutcome
+import cicadagauge.outcome.TruncationCause
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
@@ -143,7 +144,7 @@
             val outcomes = upstream.send()
             val cutOff = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nx\r\n"
             upstream.connections.single().read("$cutOff$complete\r\n")
-            outcomes shouldContainExactly listOf(AttemptOutcome.Truncated)
+            outcomes shouldContainExactly listOf(AttemptOutcome.Truncated(TruncationCause.ConnectionBroken))
             upstream.connections.single().isOpen shouldBe false
             upstream.unsolicited.shouldBeEmpty()
         }
--- a/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/upstream/EndlessUpstreamTest.kt
+++ b/cicadagauge-standins/src/test/kotlin/cicadagauge/standins/upstream/EndlessUpstreamTest.kt
@@ -27,6 +27,10 @@
     @Volatile
     var repeated = ""
 
+    /** The pause between two repetitions, in milliseconds. */
+    @Volatile
+    var interval = 0L
+
     /** Released when the other side has closed the connection of a request. */
     @Volatile
     var closed = CountDownLatch(1)
@@ -44,7 +48,10 @@
         try {
             val out = socket.getOutputStream()
             out.write(start.toByteArray(Charsets.ISO_8859_1))
-            while (true) out.write(repeated.toByteArray(Charsets.ISO_8859_1))
+            while (true) {
+                out.write(repeated.toByteArray(Charsets.ISO_8859_1))
+                if (interval > 0) Thread.sleep(interval)
+            }
         } catch (_: SocketException) {
             closed.countDown()
         }
@@ -61,6 +68,7 @@
     val repeated: String,
     val expected: String?,
     val unexpected: String? = null,
+    val interval: Long = 0,
 )
 
 class EndlessUpstreamTest :
@@ -76,13 +84,15 @@
 
         afterSpec { gateway.close() }
 
-        /** Sends a request and reads until [expected] or the end of the connection. */
+        /** Sends a request and reads until [expected] or the end of the connection, which must not hang. */
         fun exchange(expected: String?): String = gateway.connect().use { socket ->
             val head = "POST /w HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
             socket.getOutputStream().write(head.toByteArray())
             val answer = StringBuilder()
             val buffer = ByteArray(4_096)
+            val hangsAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(HANG_SECONDS)
             while (expected == null || expected !in answer) {
+                check(System.nanoTime() < hangsAt) { "the caller's connection is still open" }
                 val length = socket.getInputStream().read(buffer)
                 if (length < 0) break
                 answer.append(String(buffer, 0, length, Charsets.ISO_8859_1))
@@ -120,6 +130,15 @@
                 unexpected = "may-have-run",
             ),
             EndlessCase("a body without end", chunked, "3e8\r\n${"x".repeat(1_000)}\r\n", "x".repeat(500)),
+            // Guards against callers that are kept waiting without end by an answer that goes on (review case 10).
+            EndlessCase(
+                name = "a body without end whose caller reads on",
+                start = chunked,
+                repeated = "1\r\nx\r\n",
+                expected = null,
+                unexpected = "\r\n0\r\n",
+                interval = 50L,
+            ),
             EndlessCase(
                 name = "a chunk length without end",
                 start = "${chunked}1\r\nx\r\n",
@@ -139,6 +158,7 @@
                 upstream.closed = CountDownLatch(1)
                 upstream.start = case.start
                 upstream.repeated = case.repeated
+                upstream.interval = case.interval
                 val answer = exchange(case.expected)
                 withClue(answer.take(400)) {
                     case.expected?.let { answer shouldContain it }
