Duties: a key that this VM doesn't use is deleted until the store answers

Cause: giveUp deleted the key of the duty with one call, ignored the reply, and dropped the object that knew of the key. The VM went on renewing the lease that keeps the key, without taking it for its own, and all others waited for that VM.

Change: the duty of a withdrawn pool stays, with what the VM knows of its key and its calls. Where the store holds the key for a VM that neither has nor takes the duty, the VM deletes it until the store has answered. TakeoverTurn is split off PoolDuty, unchanged.

--- a/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
+++ b/cicadagauge-api/src/main/kotlin/cicadagauge/node/StateChange.kt
@@ -29,6 +29,9 @@
     /** This VM is no longer the allocator of [pool]. */
     public data class DutyLost(val pool: PoolName, val term: Term) : StateChange
 
+    /** The store has deleted the key of the duty of [pool], which this VM held without being the allocator. */
+    public data class DutyKeyReleased(val pool: PoolName) : StateChange
+
     /** The owners of the slots of [pool] changed; [moved] is the number of slots that have another owner. */
     public data class OwnersChanged(val pool: PoolName, val version: RecordVersion, val moved: Int) : StateChange
 
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/DutyManager.kt
@@ -45,7 +45,10 @@
     fun publish(record: OwnershipRecord, now: Moment)
 }
 
-/** Has a [PoolDuty] for each keyed pool of the declaration, whether or not this VM holds the duty. */
+/**
+ * Has a [PoolDuty] for each keyed pool of the declaration, whether or not this VM holds the duty. That of a pool that
+ * is no longer declared stays, because its key may be in the store, or be written by a call that is still under way.
+ */
 internal class DutyManager(private val dependencies: DutyServices) {
     private val vms = dependencies.vms
     private val lease = dependencies.lease
@@ -60,18 +63,18 @@
     /** The pools whose duty this VM holds. */
     val heldPools: List<PoolName> get() = duties.filterValues { it.allocator != null }.keys.toList()
 
-    /** Adds, updates and removes duties so that there is one for each keyed pool of [newDeclaration]. */
+    /** Adds, updates and withdraws duties so that there is one for each keyed pool of [newDeclaration]. */
     fun configure(newDeclaration: Declaration, now: Moment) {
         val keyed = newDeclaration.pools.filter { it.keyed }
-        val gone = duties.keys - keyed.map { it.name }.toSet()
-        gone.forEach { name -> duties.remove(name)?.giveUp(now) }
+        val withdrawn = duties - keyed.map { it.name }.toSet()
+        withdrawn.values.forEach { it.withdraw(now) }
         for (pool in keyed) {
             val duty = duties.getOrPut(pool.name) {
                 PoolDuty(pool, newDeclaration, dependencies, lease, now).apply {
                     holders[pool.name]?.let { holderChanged(it.vm, it.revision, now) }
                 }
             }
-            duty.configure(pool, newDeclaration)
+            duty.configure(pool, newDeclaration, now)
         }
         takeVacantDuties(now)
     }
--- a/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
+++ b/cicadagauge-core/src/main/kotlin/cicadagauge/ownership/PoolDuty.kt
@@ -40,6 +40,7 @@
     private val records = TermRecords(vms, store, earlierEras)
     private val calls = EraCalls(store, timers)
     private var isStopping = false
+    private var isWithdrawn = false
     private var isHandingOver = false
     private val dutyKey = StoreKey(StoreKeys.DUTIES + pool.name)
     private val recordKey = StoreKey(StoreKeys.RECORDS + pool.name)
@@ -49,6 +50,10 @@
     private var hasAttempted = false
     private var isOwnKey = false
     private var keyRevision = StoreRevision.ABSENT
+
+    /** The revision of the duty key while the store holds it for this VM, as far as that is known; else null. */
+    private var ownKeyRevision: StoreRevision? = null
+    private val keyRelease = DutyKeyRelease(dutyKey, calls, settings)
     private var heldSince: Moment? = null
     private val recordWriter = RecordWriter(
         key = recordKey,
@@ -63,6 +68,8 @@
     /** The promises that this VM has made to other VMs. */
     val madePromises = MadePromises(pool.name, vms, dependencies.owners, settings)
 
+    private val turn = TakeoverTurn(pool.name, dutyKey, dependencies, madePromises)
+
     /** The promises that other VMs have made to this one. */
     val receivedPromises = ReceivedPromises(pool.name, vms, settings)
 
@@ -70,18 +77,29 @@
     var allocator: Allocator? = null
         private set
 
-    /** Replaces the pool and the declaration that contains it. */
-    fun configure(newPool: Pool, newDeclaration: Declaration) {
+    /** Replaces the pool and the declaration that contains it. The duty of a withdrawn pool may be taken again. */
+    fun configure(newPool: Pool, newDeclaration: Declaration, now: Moment) {
         pool = newPool
         declaration = newDeclaration
+        if (isWithdrawn && vacantSince != null) vacantSince = now
+        isWithdrawn = false
         allocator?.configure(newPool, newDeclaration)
     }
 
+    /** Gives up the duty because the pool is no longer declared; see [configure]. */
+    fun withdraw(now: Moment) {
+        if (isWithdrawn) return
+        isWithdrawn = true
+        dutyLost(now)
+        takeIfDue(now)
+    }
+
     /** Handles a change of the duty key: [holder] is null if it was deleted. Ignored if [revision] is not a new one. */
     fun holderChanged(holder: VmId?, revision: StoreRevision, now: Moment) {
         if (revision <= seenRevision) return
         seenRevision = revision
-        if (holder == vms.self && earlierEras.hasChanged && !hasAttempted) return earlierKeyFound(revision, now)
+        ownKeyRevision = if (holder == vms.self) revision else null
+        if (holder == vms.self && earlierEras.hasChanged && !hasAttempted) return earlierKeyFound(now)
         if (holder == null) vacantSince = vacantSince ?: now else vacantSince = null
         if (holder != null && holder != vms.self && allocator != null) dutyLost(now)
         isOwnKey = holder == vms.self && hasAttempted
@@ -92,10 +110,22 @@
      * Handles the key of an earlier era, under a lease that was given up. The last allocator replaces it; any other VM
      * deletes it, to leave the duty to that one.
      */
-    private fun earlierKeyFound(revision: StoreRevision, now: Moment) {
+    private fun earlierKeyFound(now: Moment) {
         vacantSince = vacantSince ?: now
-        if (earlierEras.isLastAllocator) return takeIfDue(now)
-        store.call(StoreCall.Delete(dutyKey, revision)) { _, _ -> }
+        if (earlierEras.isLastAllocator) takeIfDue(now) else releaseOwnKey()
+    }
+
+    /** Deletes the duty key if the store holds it for this VM, which neither holds nor takes the duty. */
+    private fun releaseOwnKey() {
+        val revision = ownKeyRevision ?: return
+        if (keyRelease.isRunning) return
+        keyRelease.begin(revision) { now ->
+            if (ownKeyRevision == revision) ownKeyRevision = null
+            isOwnKey = false
+            vacantSince = vacantSince ?: now
+            effects.add(Effect.StateChanged(StateChange.DutyKeyReleased(pool.name)))
+            takeIfDue(now)
+        }
     }
 
     /** Gives up what this VM held in [previous], an earlier era of the store, and takes it again if it may. */
@@ -104,6 +134,8 @@
         val isBacked = (heldSince != null && now < lease.validUntil) || receivedPromises.completeSince(now) != null
         earlierEras.eraChanged(previous, isCertain = isActive && isBacked, now = now)
         calls.eraChanged()
+        keyRelease.eraChanged()
+        ownKeyRevision = null
         receivedPromises.discard()
         madePromises.termRaised(store.era.firstTerm, now)
         seenRevision = StoreRevision.ABSENT
@@ -122,15 +154,17 @@
         return !isTakingDuty && isHigher && madePromises.mayPromise(term, now) && isStoreOut(now)
     }
 
-    /** Takes the duty if it is vacant, once every VM that ranks before this one has had time to take it. */
+    /**
+     * Takes the duty if it is vacant, once every VM that ranks before this one has had time to take it. Where this VM
+     * may not take it, it doesn't keep its key either.
+     */
     fun takeIfDue(now: Moment) {
         if (isStopping || isHandingOver || isTakingDuty || allocator != null || !vms.hasList()) return
-        if (vms.isBypassed()) return
+        if (keyRelease.isRunning) return
+        if (isWithdrawn || vms.isBypassed()) return releaseOwnKey()
         if (isOwnKey) return resume(now)
         val since = vacantSince ?: return
-        val rank = ownRank()
-        if (rank < 0) return
-        val due = maxOf(since + settings.standbyStagger * rank, madePromises.until, earliestSafeTakeover())
+        val due = turn.after(since) ?: return releaseOwnKey()
         if (now < due) return timers.at(due, ::takeIfDue)
         lease.acquire(now)
         if (lease.id == null) return timers.at(now + settings.storeRetry, ::takeIfDue)
@@ -146,23 +180,6 @@
         if (earlierEras.hasChanged) takeKey(now) else keyTaken(seenRevision, now)
     }
 
-    private fun ownRank(): Int {
-        val eligible = dependencies.candidates.eligible()
-        return vms.ranked(dutyKey.value).filter { it.id in eligible }.sortedBy { vms.isCutOff(it.id) }
-            .indexOfFirst { it.id == vms.self }
-    }
-
-    /**
-     * The time from which every VM that might be the allocator has this VM on its list, so that it needs this VM's
-     * promise. [Moment.PAST] if there is no known allocator, or it is this VM, has stopped or is no longer listed.
-     */
-    private fun earliestSafeTakeover(): Moment {
-        val record = dependencies.owners[pool.name]?.record ?: return Moment.PAST
-        val last = record.allocator
-        val mayStillAllocate = last != vms.self && vms.isListed(last) && !madePromises.hasStopped(last, record.term)
-        return if (mayStillAllocate) vms.selfListedSince + settings.outagePromise * 2 else Moment.PAST
-    }
-
     /** Writes the duty key under this VM's lease. The key exists already if the answer to an earlier write was lost. */
     private fun takeKey(now: Moment, expect: StoreRevision = StoreRevision.ABSENT) {
         val id = lease.id
@@ -190,6 +207,7 @@
 
     private fun keyTaken(revision: StoreRevision, now: Moment) {
         keyRevision = revision
+        ownKeyRevision = revision
         seenRevision = maxOf(seenRevision, revision)
         vacantSince = null
         isOwnKey = true
@@ -204,6 +222,7 @@
 
     /** Raises the term, or resumes the one that this VM held before its lease lapsed if it is still the highest. */
     private fun acquireTerm(now: Moment) {
+        if (isWithdrawn) return endAttempt(now)
         if (now >= lease.validUntil) return giveUpKey(now)
         calls.call(StoreCall.Get(recordKey)) { reply, moment ->
             if (reply !is StoreReply.Found) return@call calls.at(moment + settings.storeRetry, ::acquireTerm)
@@ -239,6 +258,7 @@
     }
 
     private fun startAllocator(record: OwnershipRecord, revision: StoreRevision, now: Moment) {
+        if (isWithdrawn) return endAttempt(now)
         if (now >= lease.validUntil) return giveUpKey(now)
         isTakingDuty = false
         recordWriter.begin(record, revision)
@@ -279,6 +299,7 @@
     /** Handles the deletion of the key, with its lease, by the store: takes it again unless another VM has taken it. */
     fun keyDeleted(now: Moment) {
         heldSince = null
+        ownKeyRevision = null
         if (allocator == null || isTakingDuty) return
         isTakingDuty = true
         retakeKey(now)
@@ -329,25 +350,21 @@
 
     override fun publish(record: OwnershipRecord, now: Moment): Unit = dependencies.publisher.publish(record, now)
 
-    /** Stops the allocator, if any: the duty was lost to another VM, or this VM gives it up. */
+    /**
+     * Stops the allocator, if any: the duty was lost to another VM, or this VM gives it up. It is vacant where no other
+     * VM has written the key since.
+     */
     override fun dutyLost(now: Moment) {
         val stopped = allocator ?: return
         stopped.stop()
         allocator = null
         isOwnKey = false
         heldSince = null
+        if (ownKeyRevision != null) vacantSince = vacantSince ?: now
         effects.add(Effect.StateChanged(StateChange.DutyLost(pool.name, stopped.term)))
         timers.at(now + settings.storeRetry, ::takeIfDue)
     }
 
-    /** Gives up the duty because the pool is no longer declared. */
-    fun giveUp(now: Moment) {
-        isStopping = true
-        if (allocator == null) return
-        dutyLost(now)
-        store.call(StoreCall.Delete(dutyKey, keyRevision)) { _, _ -> }
-    }
-
     /**
      * Gives up the duty because the process stops, and calls [onHandedOver] once the key is deleted, or at once if this
      * VM does not hold the duty. While the store does not answer, no VM can take the duty, so grants are still renewed
@@ -389,6 +406,7 @@
             if (reply == StoreReply.Unavailable && allocator != null) {
                 timers.at(moment + settings.storeRetry, onRetry)
             } else {
+                if (reply != StoreReply.Unavailable) ownKeyRevision = null
                 dutyLost(moment)
                 vms.peers.forEach { vms.send(it, PeerMessage.Yielded(pool.name, term.next())) }
                 onReleased(moment)
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/log/EventLog.kt
@@ -34,6 +34,7 @@
         is StateChange.DeclarationUnreadable ->
             write("declaration-unreadable", "version" to change.version, "problem" to change.problem)
         is StateChange.DutyTaken -> write("duty-taken", "pool" to change.pool, "term" to change.term)
+        is StateChange.DutyKeyReleased -> write("duty-key-released", "pool" to change.pool)
         is StateChange.DutyLost -> write("duty-lost", "pool" to change.pool, "term" to change.term)
         is StateChange.OwnersChanged ->
             write("owners-changed", "pool" to change.pool, "version" to change.version, "moved" to change.moved)
