Refusals: a copy of an earlier one is no answer to the next request or order

Other operators reported callers who were told "not run" of requests that ran, or requests that ran twice: a faulty upstream wrote an earlier refusal once more on a kept connection. It can happen here where a refusal names no request, as the platform shows them (503 with Not-Executed, 421 with Instance-Id), and with orders, whose answers never do.

Cause: a response without an id is taken for the one that is awaited, and the connection was used again after a refusal without an id.

Change: a connection carries no further request after a refusal that doesn't name its request (Dialect.namesRequest), and no further order after an answer that isn't a success (ConnectionReuse, in place of JsonCall.needsOwnConnection).

--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/control/JsonHttpClient.kt
@@ -34,8 +34,7 @@
 /**
  * One call. By default it is a GET without a [body] and a POST with one.
  *
- * @property needsOwnConnection whether the call needs a connection that carries no other call. An answer names no call,
- * so a late copy of the answer to an earlier one can't be told from that to this one.
+ * @property reuse after which answers the connection may carry another call
  * @property maxResponseBytes how long the body of the response may be; the connection is closed when it is longer
  */
 public class JsonCall(
@@ -46,7 +45,7 @@
     public val method: HttpMethod = if (body == null) HttpMethod.GET else HttpMethod.POST,
     public val headers: Map<String, String> = emptyMap(),
     public val maxResponseBytes: Int = SMALL_RESPONSE_BYTES,
-    public val needsOwnConnection: Boolean = false,
+    public val reuse: ConnectionReuse = ConnectionReuse.Always,
 ) {
     public companion object {
         /** A limit for responses of upstreams and peers: many may arrive at the same time, and all are buffered. */
@@ -57,6 +56,21 @@
     }
 }
 
+/**
+ * When a connection is used for another call. An answer names no call, so a late copy of the answer to an earlier call
+ * can't be told from that to the present one.
+ */
+public enum class ConnectionReuse {
+    /** After each complete answer: for servers that answer once, and calls that are safe with an earlier answer. */
+    Always,
+
+    /** After a 2xx answer only: for calls that a copy of an earlier refusal must not end. */
+    AfterSuccess,
+
+    /** Never, neither before nor after the call: for calls whose answer is a proof. */
+    Never,
+}
+
 /** The result of a [JsonCall]. */
 public sealed interface CallResult {
     /** A response arrived, of any status. */
@@ -103,7 +117,7 @@
     public fun exchange(call: JsonCall, onResult: (CallResult) -> Unit): CancellableCall {
         val pending = PendingCall(call, onResult)
         pending.timeout = loop.schedule({ pending.fail() }, call.timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-        val reused = if (call.needsOwnConnection) null else takeIdle(call.target)
+        val reused = if (call.reuse == ConnectionReuse.Never) null else takeIdle(call.target)
         if (reused == null) connect(call, pending) else send(reused, pending)
         return CancellableCall { pending.cancel() }
     }
@@ -232,8 +246,15 @@
             }
             val bytes = ByteArray(response.content().readableBytes()).also { response.content().readBytes(it) }
             val headers = response.headers()
-            canBeReused = HttpUtil.isKeepAlive(response) && current?.call?.needsOwnConnection == false
-            answer = CallResult.Answered(response.status().code(), bytes) { headers[it] }
+            val read = CallResult.Answered(response.status().code(), bytes) { headers[it] }
+            canBeReused = HttpUtil.isKeepAlive(response) && mayBeReusedAfter(read)
+            answer = read
+        }
+
+        private fun mayBeReusedAfter(read: CallResult.Answered): Boolean = when (current?.call?.reuse) {
+            ConnectionReuse.Always -> true
+            ConnectionReuse.AfterSuccess -> read.isSuccess
+            ConnectionReuse.Never, null -> false
         }
 
         override fun channelReadComplete(context: ChannelHandlerContext) {
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/Dialect.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/environment/Dialect.kt
@@ -47,6 +47,9 @@
     /** Whether a response with [status] and the headers [response] is for [request], as far as the headers show. */
     public fun isResponseTo(status: Int, response: HttpHeaders, request: HttpHeaders): Boolean
 
+    /** Whether [response] names the request that it answers, so that [isResponseTo] recognizes that to another one. */
+    public fun namesRequest(response: HttpHeaders): Boolean
+
     /** Adds to the [refusal] of [request] the headers that callers expect in every response. */
     public fun addRefusalHeaders(refusal: HttpHeaders, request: HttpHeaders)
 
@@ -97,6 +100,8 @@
 
     override fun isResponseTo(status: Int, response: HttpHeaders, request: HttpHeaders): Boolean = true
 
+    override fun namesRequest(response: HttpHeaders): Boolean = false
+
     override fun addRefusalHeaders(refusal: HttpHeaders, request: HttpHeaders): Unit = Unit
 
     /** Whole seconds, rounded up, because HTTP allows no fractions. */
--- a/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
+++ b/cicadagauge-gateway/src/main/kotlin/cicadagauge/gateway/upstream/UpstreamHandler.kt
@@ -204,7 +204,7 @@
         rejection = if (running.hop.isRelay) homeRefusal(response) else notRun(response)
         isFramed = isFramed(response, running)
         if (rejection == null && !isFramed && !dialect.allowsCloseDelimitedBody) return failAttempt(running)
-        keepAlive = HttpUtil.isKeepAlive(response)
+        keepAlive = HttpUtil.isKeepAlive(response) && !mayBeRepeated(running, response)
         if (rejection != null) return
         val forwarded = DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status())
         UpstreamRequest.copyResponseHeaders(response.headers(), forwarded.headers())
@@ -278,6 +278,13 @@
     private fun isResponseTo(running: UpstreamAttempt, response: HttpResponse): Boolean =
         dialect.isResponseTo(response.status().code(), response.headers(), running.exchange.request.headers())
 
+    /**
+     * Whether [response] is a rejection that can't be told from that of the next request on the connection, should the
+     * upstream send it once more. A home VM sends each response once.
+     */
+    private fun mayBeRepeated(running: UpstreamAttempt, response: HttpResponse): Boolean =
+        rejection != null && !running.hop.isRelay && !dialect.namesRequest(response.headers())
+
     private fun notRun(response: HttpResponse): AttemptOutcome? =
         dialect.notRun(response.status().code(), response.headers())?.let { AttemptOutcome.NotRun(it) }
 
--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/ExtraResponseTest.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/ExtraResponseTest.kt
@@ -17,6 +17,8 @@
 
     override fun isResponseTo(status: Int, response: HttpHeaders, request: HttpHeaders): Boolean =
         response["id"] == request["id"]
+
+    override fun namesRequest(response: HttpHeaders): Boolean = response.contains("id")
 }
 
 private fun request(id: Int) = "POST /loans HTTP/1.1\r\nhost: h\r\nid: $id\r\ncontent-length: 0\r\n\r\n"
