Tests: a head that breaks off brings no answer

Other operators reported a success with an empty or short body, framed as whole, after an upstream had stopped in the middle of its answer's head and closed. No change of the product.

--- a/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/InvalidResponseHeadTest.kt
+++ b/cicadagauge-gateway/src/test/kotlin/cicadagauge/gateway/upstream/InvalidResponseHeadTest.kt
@@ -11,11 +11,14 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldNotContain
+import io.netty.channel.socket.ChannelInputShutdownEvent
 
 private const val REQUEST = "GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
 private const val INTERIM = "HTTP/1.1 102 Processing\r\n\r\n"
 private const val ANSWER = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
+private const val HEAD_END = "\r\n\r\n"
+
 private fun responseWith(status: String) = "HTTP/1.1 $status x\r\ncontent-length: 2\r\n\r\nok"
 
 class InvalidResponseHeadTest :
@@ -50,6 +53,25 @@
             }
         }
 
+        // Guards against a success with an empty body, for which a head was taken whose connection ended within it.
+        for (isRelay in listOf(false, true)) {
+            test("a connection that ends within a head brings no answer, " + if (isRelay) "relayed" else "direct") {
+                for (response in listOf(ANSWER, "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n")) {
+                    for (length in 0 until response.indexOf(HEAD_END) + HEAD_END.length) {
+                        val upstream = EmbeddedUpstream(UnframedDialect)
+                        val outcomes = upstream.send(isRelay = isRelay)
+                        val connection = upstream.connections.single()
+                        connection.read(response.take(length))
+                        connection.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+                        connection.runPendingTasks()
+                        withClue(response.take(length)) {
+                            outcomes shouldContainExactly listOf(AttemptOutcome.Lost(timedOut = false))
+                        }
+                    }
+                }
+            }
+        }
+
         test("a few interim responses precede the answer to a request and to a call") {
             val gateway = EmbeddedGateway()
             gateway.receive(REQUEST)
